--- /dev/null
+++ b/internal/simwire/conf.go
@@ -0,0 +1,191 @@
+package simwire
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"fordusher/policy"
+)
+
+// Conf is what the wire tells at a start; keys that are not listed here are skipped.
+type Conf struct {
+	Me        int `json:"me"`
+	Directors int `json:"balancers"`
+	Classes   []struct {
+		Name      string  `json:"name"`
+		Target    float64 `json:"target_s"`
+		GiveUp    float64 `json:"give_up_s"`
+		Semantics string  `json:"semantics"`
+		Credit    float64 `json:"credit"`
+	} `json:"classes"`
+	Family struct {
+		Cells       int       `json:"positions"`
+		Racks       int       `json:"shelves"`
+		Floor       []int     `json:"floor_by_class"`
+		Top         []int     `json:"top_by_class"`
+		Scale       []float64 `json:"scale_by_class"`
+		Seats       []int     `json:"licence_cap"`
+		Live        []bool    `json:"is_live"`
+		Join        *float64  `json:"shared_adds"`
+		RefusesFrom float64   `json:"refuses_from"`
+		Places      []float64 `json:"kind_slots"`
+		Ladder      []float64 `json:"ladder_kb"`
+		Worth       []float64 `json:"level_worth"`
+		ChangeCost  float64   `json:"change_costs_s"`
+		Late        float64   `json:"told_late_s"`
+		Every       float64   `json:"told_every_s"`
+		Uplink      float64   `json:"rack_link_kb"`
+		LinkUnit    float64   `json:"link_unit_kb"`
+	} `json:"family_info"`
+	Kinds       []string `json:"flavors"`
+	Mode        string   `json:"membership_mode"`
+	Permissions struct {
+		MaxAttempts int     `json:"max_attempts"`
+		RetryAfter  bool    `json:"retry_after"`
+		MaxBackoff  float64 `json:"max_retry_after_s"`
+	} `json:"permissions"`
+	Report struct {
+		Fields []string `json:"fields"`
+	} `json:"report"`
+	Rules struct {
+		AskWithin float64 `json:"ask_within_s"`
+		ColdFrom  float64 `json:"cold_from"`
+		Multiple  float64 `json:"fall_multiple"`
+		Ramp      float64 `json:"ramp_time_s"`
+		TipAfter  float64 `json:"tip_after_s"`
+		Spare     float64 `json:"spare_attempts"`
+		Extra     float64 `json:"extra_share"`
+		Span      float64 `json:"resend_span_s"`
+	} `json:"rules"`
+
+	tariffs map[string]int
+	kinds   map[string]int
+}
+
+// ParseConf reads a start's settings.
+func ParseConf(raw json.RawMessage) (*Conf, error) {
+	c := &Conf{tariffs: map[string]int{}, kinds: map[string]int{}}
+	if err := json.Unmarshal(raw, c); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	for i, class := range c.Classes {
+		c.tariffs[class.Name] = i
+	}
+	for i, kind := range c.Kinds {
+		c.kinds[kind] = i
+	}
+	return c, nil
+}
+
+func at[T any](list []T, i int, missing T) T {
+	if i < len(list) {
+		return list[i]
+	}
+	return missing
+}
+
+// Director starts a director with what the wire told.
+func (c *Conf) Director(seed uint64) *policy.Director {
+	f := &c.Family
+	ladder := policy.Ladder{
+		Rates: f.Ladder, Worth: f.Worth, ChangeCost: Span(f.ChangeCost), JoinAdds: 1,
+	}
+	if f.Join != nil {
+		ladder.JoinAdds = *f.Join
+	}
+	tariffs := make([]policy.Tariff, len(c.Classes))
+	for i, class := range c.Classes {
+		tariffs[i] = policy.Tariff{
+			GoalTime: Span(class.Target), HardStop: Span(class.GiveUp), Credit: class.Credit,
+			Paid: class.Semantics != "free", Scale: at(f.Scale, i, 1), Floor: at(f.Floor, i, 0),
+			Top: at(f.Top, i, len(f.Ladder)-1), Seats: at(f.Seats, i, 0), Live: at(f.Live, i, false),
+		}
+	}
+	ramp := policy.Ramp{
+		Places: f.Places, Warmup: Span(c.Rules.Ramp), ColdFrom: c.Rules.ColdFrom,
+		Multiple: c.Rules.Multiple, TipAfter: Span(c.Rules.TipAfter),
+	}
+	if c.Mode == "ask" {
+		ramp.AskWithin = max(Span(c.Rules.AskWithin), time.Millisecond)
+	}
+	var backoff time.Duration
+	if c.Permissions.RetryAfter {
+		backoff = Span(c.Permissions.MaxBackoff)
+	}
+	return policy.New(seed, policy.Peers{Me: c.Me, Directors: c.Directors}, tariffs, ladder,
+		policy.Fleet{
+			Cells: f.Cells, Racks: f.Racks, LinkUnit: f.LinkUnit, Uplink: f.Uplink,
+			RefusesFrom: f.RefusesFrom,
+		}, ramp,
+		policy.Legs{
+			Most: c.Permissions.MaxAttempts, Spare: c.Rules.Spare, Share: c.Rules.Extra,
+			Span: Span(c.Rules.Span),
+		},
+		policy.Tidings{Late: Span(f.Late), Every: Span(f.Every), Backoff: backoff})
+}
+
+// Load reads a report by the order of its fields.
+func (c *Conf) Load(report []float64) policy.Load {
+	load := policy.NoLoad
+	for i, v := range report {
+		switch at(c.Report.Fields, i, "") {
+		case "active":
+			load.Streams = v
+		case "x0":
+			load.Link = v
+		case "cpu":
+			if load.Link < 0 {
+				load.Link = v
+			}
+		case "x1":
+			load.Uplink = v
+		}
+	}
+	return load
+}
+
+var rosterKinds = map[string]policy.RosterKind{
+	"update": policy.Update, "replace": policy.Replace, "restored": policy.Restored,
+	"unavailable": policy.Unavailable,
+}
+
+var nodeStates = map[string]policy.NodeState{
+	"up": policy.Up, "draining": policy.Draining, "removed": policy.Removed,
+}
+
+// Roster reads a change of the list for an instance that started at the given clock.
+func (c *Conf) Roster(kind string, entries []Entry, start time.Duration) (policy.Roster, error) {
+	k, ok := rosterKinds[kind]
+	if !ok {
+		return policy.Roster{}, fmt.Errorf("unknown list kind %q", kind)
+	}
+	r := policy.Roster{Kind: k, Entries: make([]policy.Entry, len(entries))}
+	for i, e := range entries {
+		state, ok := nodeStates[e.State]
+		if !ok {
+			return r, fmt.Errorf("unknown state %q of node %s", e.State, e.Node)
+		}
+		born := policy.LongAgo
+		if e.Born != 0 {
+			born = Span(e.Born) - start
+		}
+		r.Entries[i] = policy.Entry{
+			Node: e.Node, State: state, Kind: c.kinds[e.Kind], Zone: e.Zone, Born: born,
+			Weight: e.Weight, Cell: e.Cell,
+		}
+	}
+	return r, nil
+}
+
+// Demand reads a request, or a session handed over while it plays.
+func (c *Conf) Demand(m *Message, start time.Duration) (policy.Demand, error) {
+	tariff, ok := c.tariffs[m.Tariff]
+	if !ok {
+		return policy.Demand{}, fmt.Errorf("unknown class %q", m.Tariff)
+	}
+	return policy.Demand{
+		ID: m.ID, Tariff: tariff, Title: m.Title, Base: int(m.Base), Copies: int(m.Copies),
+		Top: int(m.Top), HardStop: Span(m.Stop) - start, Playing: m.Node,
+	}, nil
+}
--- /dev/null
+++ b/internal/simwire/simwire.go
@@ -0,0 +1,276 @@
+// Package simwire reads and writes the simulator's wire: JSON, one value a line, in batches.
+package simwire
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"strconv"
+	"time"
+
+	"fordusher/policy"
+)
+
+// A Frame is one batch of events.
+type Frame struct {
+	Clock  time.Duration // the wire's own clock
+	Number uint64
+	Events []Message
+}
+
+// A Message is one event line; which fields count depends on Kind.
+type Message struct {
+	Kind     string          `json:"t"`
+	Instance string          `json:"i"`
+	Seed     json.Number     `json:"entropy"`
+	Conf     json.RawMessage `json:"conf"`
+	List     int             `json:"list"`
+	Entries  []Entry         `json:"entries"`
+	Roster   string          `json:"kind"`
+	ID       uint64          `json:"txn"`
+	Tariff   string          `json:"cls"`
+	Title    uint64          `json:"programme"`
+	Stop     float64         `json:"valid_until_s"`
+	Base     float64         `json:"base"`
+	Copies   float64         `json:"cells_in_row"`
+	Top      float64         `json:"top_rung"`
+	Node     string          `json:"node"`
+	Reason   int             `json:"reason"`
+	Final    bool            `json:"final"`
+	Report   []float64       `json:"report"`
+	Value    float64         `json:"x"`
+	Sort     int             `json:"sort"`
+
+	// The head and foot of a batch.
+	Clock  *float64 `json:"t_s"`
+	Number *uint64  `json:"frame"`
+}
+
+// An Entry is a node in a registered list.
+type Entry struct {
+	State  string  `json:"stage_state"`
+	Node   string  `json:"node"`
+	Kind   string  `json:"generation_hw"`
+	Zone   string  `json:"area"`
+	Born   float64 `json:"born_s"`
+	Weight float64 `json:"scale"`
+	Cell   int     `json:"position"`
+}
+
+// The event kinds of the wire.
+const (
+	Boot          = "boot"
+	Register      = "register"
+	RosterChange  = "roster_change"
+	DemandEvent   = "demand"
+	ProbeResult   = "probe_result"
+	RingEvent     = "ring"
+	AlreadyOpen   = "already_open"
+	ResultEvent   = "result"
+	AcceptedEvent = "accepted"
+	Killed        = "killed"
+	Whisper       = "whisper"
+	GoneEvent     = "gone"
+	HintUpdate    = "hint_update"
+)
+
+var kinds = map[string]bool{
+	Boot: true, Register: true, RosterChange: true, DemandEvent: true, ProbeResult: true,
+	RingEvent: true, AlreadyOpen: true, ResultEvent: true, AcceptedEvent: true, Killed: true,
+	Whisper: true, GoneEvent: true, HintUpdate: true,
+}
+
+var outcomes = map[int]policy.Outcome{
+	0: policy.Served, 255: policy.Errored, 254: policy.Full, 253: policy.TimedOut,
+	252: policy.Unconnected, 251: policy.Reset, 250: policy.Cancelled, 249: policy.Moot,
+}
+
+// Outcome reads an outcome code.
+func Outcome(code int) (policy.Outcome, error) {
+	o, ok := outcomes[code]
+	if !ok {
+		return 0, fmt.Errorf("unknown outcome code %d", code)
+	}
+	return o, nil
+}
+
+// A Reader reads frames.
+type Reader struct {
+	in   *bufio.Reader
+	last uint64 // number of the last frame begun
+}
+
+// NewReader reads frames from r.
+func NewReader(r io.Reader) *Reader { return &Reader{in: bufio.NewReaderSize(r, 1<<20)} }
+
+func (r *Reader) line() ([]byte, error) {
+	var long []byte
+	for {
+		part, err := r.in.ReadSlice('\n')
+		if err == bufio.ErrBufferFull {
+			long = append(long, part...)
+			continue
+		}
+		if err == io.EOF && len(long)+len(part) > 0 {
+			return nil, errors.New("the last line is cut off")
+		}
+		if err != nil {
+			return nil, err
+		}
+		if long != nil {
+			return append(long, part...), nil
+		}
+		return part, nil
+	}
+}
+
+// Next reads one frame; io.EOF tells that the input ended between frames.
+func (r *Reader) Next() (Frame, error) {
+	var f Frame
+	begun := false
+	for {
+		line, err := r.line()
+		if err != nil {
+			if err == io.EOF && !begun {
+				return f, io.EOF
+			}
+			if err == io.EOF {
+				err = errors.New("the input ends inside it")
+			}
+			return f, fmt.Errorf("frame %d: %w", r.last, err)
+		}
+		line = bytes.TrimSpace(line)
+		if len(line) == 0 {
+			continue
+		}
+		var m Message
+		if err := json.Unmarshal(line, &m); err != nil {
+			return f, fmt.Errorf("frame %d, line %.80q: %w", r.last, line, err)
+		}
+		switch {
+		case m.Kind == "tick" && !begun:
+			if m.Clock == nil || m.Number == nil {
+				return f, fmt.Errorf("after frame %d: a tick without clock or number", r.last)
+			}
+			begun, r.last = true, *m.Number
+			f.Clock, f.Number = Span(*m.Clock), *m.Number
+		case !begun:
+			return f, fmt.Errorf("after frame %d: %q where a tick was due", r.last, m.Kind)
+		case m.Kind == "go":
+			return f, nil
+		case !kinds[m.Kind]:
+			return f, fmt.Errorf("frame %d: unknown event kind %q", r.last, m.Kind)
+		default:
+			f.Events = append(f.Events, m)
+		}
+	}
+}
+
+// Span turns the wire's seconds into a span, to the microsecond.
+func Span(seconds float64) time.Duration {
+	return time.Duration(math.Round(seconds*1e6)) * time.Microsecond
+}
+
+func appendSeconds(b []byte, d time.Duration) []byte {
+	return strconv.AppendFloat(b, float64(d.Microseconds())/1e6, 'f', -1, 64)
+}
+
+// A Writer writes replies. Nothing goes out before Ack, so no reply is ever left half written.
+type Writer struct {
+	out io.Writer
+	buf []byte
+}
+
+// NewWriter writes replies to w.
+func NewWriter(w io.Writer) *Writer { return &Writer{out: w} }
+
+func (w *Writer) begin(kind, instance string) {
+	w.buf = append(w.buf, `{"t":"`...)
+	w.buf = append(w.buf, kind...)
+	w.buf = append(w.buf, `","i":`...)
+	w.text(instance)
+}
+
+func (w *Writer) text(s string) {
+	quoted, _ := json.Marshal(s) // a string always marshals
+	w.buf = append(w.buf, quoted...)
+}
+
+func (w *Writer) key(name string) {
+	w.buf = append(w.buf, `,"`...)
+	w.buf = append(w.buf, name...)
+	w.buf = append(w.buf, `":`...)
+}
+
+func (w *Writer) txn(id uint64) {
+	w.key("txn")
+	w.buf = strconv.AppendUint(w.buf, id, 10)
+}
+
+// Action adds one action of an instance whose start lay at the given clock.
+func (w *Writer) Action(instance string, start time.Duration, action policy.Action) {
+	switch a := action.(type) {
+	case policy.Dispatch:
+		w.begin("dispatch", instance)
+		w.txn(a.ID)
+		w.key("within_s")
+		w.buf = appendSeconds(w.buf, a.Within)
+		w.key("node")
+		w.text(a.Node)
+	case policy.Rate:
+		w.begin("rate", instance)
+		w.txn(a.ID)
+		w.key("grade")
+		w.buf = strconv.AppendInt(w.buf, int64(a.Rung), 10)
+	case policy.Nack:
+		w.begin("refuse", instance)
+		w.txn(a.ID)
+		if a.Backoff > 0 {
+			w.key("backoff_s")
+			w.buf = appendSeconds(w.buf, a.Backoff)
+		}
+	case policy.Fail:
+		w.begin("fail", instance)
+		w.txn(a.ID)
+	case policy.Schedule:
+		w.begin("schedule", instance)
+		w.key("time_s")
+		w.buf = appendSeconds(w.buf, start+a.At)
+		w.key("token")
+		w.buf = append(w.buf, '0')
+	case policy.Listen:
+		w.begin("listen", instance)
+		w.key("enable")
+		w.buf = append(w.buf, "true"...)
+	case policy.Transfer:
+		w.begin("transfer", instance)
+		w.txn(a.ID)
+	case policy.Log:
+		w.begin("log", instance)
+		w.key("words")
+		w.text(a.Words)
+	}
+	w.buf = append(w.buf, "}\n"...)
+}
+
+// Panic adds the declaration that an instance's code has failed.
+func (w *Writer) Panic(instance, words string) {
+	w.begin("panic", instance)
+	w.key("words")
+	w.text(words)
+	w.buf = append(w.buf, "}\n"...)
+}
+
+// Ack ends the reply to a frame and sends it.
+func (w *Writer) Ack(number uint64) error {
+	w.buf = append(w.buf, `{"t":"ack","frame":`...)
+	w.buf = strconv.AppendUint(w.buf, number, 10)
+	w.buf = append(w.buf, "}\n"...)
+	_, err := w.out.Write(w.buf)
+	w.buf = w.buf[:0]
+	return err
+}
--- /dev/null
+++ b/policy/policy.go
@@ -0,0 +1,888 @@
+// Package policy decides who plays, where and at what rung. Callers start a director with New and
+// hand each thing that happened to Step, which returns what is to be done, in order. The interface
+// (events, actions, start facts) is in types.go; everything that is decided is decided here.
+// Times are spans since the director's start. See docs/design.md for the mechanism's source.
+package policy
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+)
+
+// The mechanism's own figures; docs/design.md tells which are the paper's and which ours.
+const (
+	fairnessWeight = 0.6
+	viewerWeight   = 0.4
+	rescoreEvery   = 2 * time.Second
+	switchEvery    = 10 * time.Second
+	meanSpan       = 70 * time.Second
+	fullAt         = 0.95 // of a link or uplink
+	dropUnder      = 0.75 // share delivered
+	shortUnder     = 0.98 // share delivered
+)
+
+// pulse is how often the director looks around unasked.
+const pulse = rescoreEvery / 20
+
+// Director is one session director.
+type Director struct {
+	now      time.Duration
+	out      []Action
+	chance   *pcg
+	rungs    rungs
+	gauge    gauge
+	warmth   warmth
+	ration   ration
+	backoff  time.Duration
+	watch    time.Duration // how often the list is asked for; 0: it is pushed
+	asked    time.Duration
+	begun    bool
+	panicked bool         // nearly everyone is suspect
+	ids      door[uint64] // emptied as sessions end
+	sessions []session    // a place is used again once its session has left the door
+	names    door[string] // emptied as nodes leave the list and their last session ends
+	nodes    []node
+}
+
+// New starts a director.
+func New(seed uint64, peers Peers, tariffs []Tariff, ladder Ladder, fleet Fleet, ramp Ramp,
+	legs Legs, tidings Tidings) *Director {
+	return &Director{
+		chance: newPCG(seed),
+		rungs:  rungs{ladder, tariffs},
+		gauge: gauge{fleet: fleet, late: tidings.Late, directors: float64(max(1, peers.Directors)),
+			middle: ladder.Rates[len(ladder.Rates)/2], racks: make([]rack, max(1, fleet.Racks))},
+		warmth:  warmth{ramp, peers},
+		ration:  ration{legs: legs},
+		backoff: tidings.Backoff,
+		watch:   ramp.AskWithin / 2,
+		ids:     newDoor[uint64](),
+		names:   newDoor[string](),
+	}
+}
+
+// Step takes what happened at a time and returns what is to be done.
+func (d *Director) Step(now time.Duration, happened Event) []Action {
+	d.now, d.out = now, d.out[:0]
+	if !d.begun {
+		d.begun = true
+		d.do(Schedule{now + pulse})
+		if d.watch > 0 {
+			d.ask()
+		}
+	}
+	switch e := happened.(type) {
+	case Demand:
+		d.demand(e)
+	case Accepted:
+		d.accepted(e.ID)
+	case Result:
+		d.result(e)
+	case Note:
+		d.note(e)
+	case Gone:
+		if i, ok := d.ids.find(e.ID); ok {
+			d.sessions[i].ended = true
+			d.settle(i)
+		}
+	case Roster:
+		d.roster(e)
+	case Ring:
+		d.lookAround()
+	}
+	return d.out
+}
+
+func (d *Director) do(a Action) { d.out = append(d.out, a) }
+
+func (d *Director) log(format string, figures ...any) { d.do(Log{fmt.Sprintf(format, figures...)}) }
+
+// Sessions.
+
+type phase int
+
+const (
+	held phase = iota // taken, no leg out
+	setting
+	playing
+)
+
+type session struct {
+	Demand
+	used      bool // the place is taken
+	phase     phase
+	ended     bool // the viewer has its answer or has left; only a leg's end is awaited
+	ran       bool // some earlier leg may have run
+	came      time.Duration
+	node      int
+	tried     []int // nodes of earlier legs; at most Legs.Most
+	sent      time.Duration
+	started   time.Duration
+	suspected bool // this leg has already been held against its node
+	rung      int
+	switched  time.Duration
+	scored    time.Duration
+	mean      float64
+	carried   float64 // kB a second booked at the node
+}
+
+func (d *Director) demand(e Demand) {
+	i, grown := d.ids.enter(e.ID)
+	if grown {
+		d.sessions = append(d.sessions, session{})
+	}
+	t := &d.rungs.tariffs[e.Tariff]
+	d.sessions[i] = session{Demand: e, used: true, came: d.now, node: -1, rung: t.Floor}
+	d.ration.took(d.now)
+	if e.Playing == "" {
+		d.place(i)
+		return
+	}
+	s := &d.sessions[i]
+	s.phase, s.sent, s.started, s.scored = playing, d.now, d.now, d.now
+	s.switched = d.now - switchEvery
+	s.mean = float64(s.rung)
+	if n, ok := d.names.find(e.Playing); ok {
+		s.node = n
+		d.nodes[n].vouched = true
+		d.nodes[n].legs++
+		d.carry(s, s.rung)
+	}
+}
+
+// settle lets an ended session go once no leg of it is out.
+func (d *Director) settle(i int) {
+	s := &d.sessions[i]
+	if s.phase == held {
+		d.ids.leave(s.ID)
+		*s = session{}
+	}
+}
+
+// giveUp answers a session that can't be set up: a nack where nothing paid may have run.
+func (d *Director) giveUp(i int) {
+	s := &d.sessions[i]
+	if s.ran && d.rungs.tariffs[s.Tariff].Paid {
+		d.do(Fail{s.ID})
+	} else {
+		d.do(Nack{s.ID, min(d.backoff, d.rungs.tariffs[s.Tariff].GoalTime)})
+	}
+	s.ended = true
+	d.settle(i)
+}
+
+func (d *Director) accepted(id uint64) {
+	i, ok := d.ids.find(id)
+	if !ok || d.sessions[i].phase != setting {
+		return
+	}
+	s := &d.sessions[i]
+	s.phase, s.started, s.switched = playing, d.now, d.now-switchEvery
+	s.scored, s.mean = d.now, float64(s.rung)
+	n := &d.nodes[s.node]
+	d.warmth.answered(n, d.now)
+	if n.health.wentWell() {
+		d.log("node %s is trusted again", n.name)
+	}
+}
+
+func (d *Director) result(e Result) {
+	i, ok := d.ids.find(e.ID)
+	if !ok || d.sessions[i].phase == held {
+		return
+	}
+	s := &d.sessions[i]
+	was := s.phase
+	if s.node >= 0 {
+		n := &d.nodes[s.node]
+		d.carry(s, -1)
+		n.legs--
+		d.gauge.report(n, e.Load, d.now)
+		if e.Outcome != Served && e.Outcome != Cancelled && e.Outcome != Moot {
+			d.symptom(n, s, e.Outcome)
+		}
+		s.tried = append(s.tried, s.node)
+		d.dropNode(s.node)
+		s.node = -1
+	}
+	s.phase = held
+	switch e.Outcome {
+	case Full, Unconnected, Moot:
+	default:
+		s.ran = true
+	}
+	switch {
+	case e.Final || s.ended || was == playing:
+		s.ended = true
+		d.settle(i)
+	case s.ran && d.rungs.tariffs[s.Tariff].Paid:
+		d.giveUp(i)
+	default:
+		d.place(i)
+	}
+}
+
+// lookAround is what is done at each pulse.
+func (d *Director) lookAround() {
+	d.do(Schedule{d.now + pulse})
+	if d.watch > 0 && d.now-d.asked >= d.watch {
+		d.ask()
+	}
+	for i := range d.sessions {
+		s := &d.sessions[i]
+		switch {
+		case !s.used || s.ended:
+		case s.phase == held:
+			d.place(i)
+		case s.phase == setting:
+			if !s.suspected && d.now-s.sent > legTime(d.rungs.tariffs[s.Tariff].GoalTime) {
+				d.symptom(&d.nodes[s.node], s, TimedOut)
+			}
+		case d.now-s.scored >= rescoreEvery:
+			d.rescore(s)
+		}
+	}
+}
+
+// Placing.
+
+// legTime is how long a leg may take before its node is suspect: two such legs and the time to
+// choose fit into the goal time.
+func legTime(goal time.Duration) time.Duration { return goal * 2 / 5 }
+
+// place sends a held session's next leg, holds it while waiting can still help, or gives it up.
+func (d *Director) place(i int) {
+	s := &d.sessions[i]
+	t := &d.rungs.tariffs[s.Tariff]
+	left := s.HardStop - d.now
+	late := d.now - s.came
+	if left <= 2*pulse || late >= t.GoalTime || len(s.tried) >= d.ration.legs.Most {
+		d.giveUp(i)
+		return
+	}
+	if t.Seats > 0 && d.seated(s) >= t.Seats {
+		return
+	}
+	if len(s.tried) > 0 && !d.ration.may(d.now) {
+		return
+	}
+	at := d.choose(s, t)
+	if at < 0 {
+		return
+	}
+	if len(s.tried) > 0 {
+		d.ration.spend(d.now)
+	}
+	n := &d.nodes[at]
+	s.node = at
+	rung := d.setupRung(s, n)
+	if rung != s.rung {
+		d.do(Rate{s.ID, rung})
+	}
+	var within time.Duration
+	if !t.Paid {
+		within = min(legTime(t.GoalTime), left)
+	}
+	d.do(Dispatch{s.ID, n.name, within})
+	s.phase, s.sent, s.suspected = setting, d.now, false
+	n.legs++
+	d.warmth.sent(n, d.now)
+	d.carry(s, rung)
+}
+
+// seated counts the sessions that hold a seat of this one's title and tariff.
+func (d *Director) seated(s *session) int {
+	count := 0
+	for i := range d.sessions {
+		o := &d.sessions[i]
+		if o.used && o.phase != held && o.Title == s.Title && o.Tariff == s.Tariff {
+			count++
+		}
+	}
+	return count
+}
+
+// choose picks the lower link share of two random holders that may take the session: first among
+// those with room at the lowest rung, then among any that would not turn it away.
+func (d *Director) choose(s *session, t *Tariff) int {
+	var roomy, others []int
+	for i := range d.nodes {
+		n := &d.nodes[i]
+		if n.name == "" || n.listed != Up || (n.cell-s.Base+d.gauge.fleet.Cells)%d.gauge.fleet.Cells >= s.Copies {
+			continue
+		}
+		if slices.Contains(s.tried, i) || !d.warmth.may(n, d.now) {
+			continue
+		}
+		if !d.panicked && !n.health.may(n.legs, t.Paid, d.now) {
+			continue
+		}
+		switch link, uplink := d.gauge.counts(n, d.nodes, d.rungs.rate(s, t.Floor)); {
+		case link <= fullAt && uplink <= fullAt:
+			roomy = append(roomy, i)
+		case d.gauge.fleet.RefusesFrom == 0 || d.gauge.link(n) < d.gauge.fleet.RefusesFrom:
+			others = append(others, i)
+		}
+	}
+	if len(roomy) == 0 {
+		roomy = others
+	}
+	if len(roomy) == 0 {
+		return -1
+	}
+	a := d.chance.below(len(roomy))
+	if len(roomy) == 1 {
+		return roomy[a]
+	}
+	b := d.chance.below(len(roomy) - 1)
+	if b >= a {
+		b++
+	}
+	if d.gauge.link(&d.nodes[roomy[b]]) < d.gauge.link(&d.nodes[roomy[a]]) {
+		a = b
+	}
+	return roomy[a]
+}
+
+// Rungs.
+
+type rungs struct {
+	ladder  Ladder
+	tariffs []Tariff
+}
+
+func (r *rungs) rate(s *session, rung int) float64 {
+	return r.ladder.Rates[rung] * r.tariffs[s.Tariff].Scale
+}
+
+func (r *rungs) top(s *session) int {
+	t := &r.tariffs[s.Tariff]
+	return max(t.Floor, min(s.Top, t.Top, len(r.ladder.Rates)-1))
+}
+
+// reference is the fractional rung of a fair rate, clamped at the ladder's ends.
+func (r *rungs) reference(s *session, fair float64) float64 {
+	last := len(r.ladder.Rates) - 1
+	for q := 0; q < last; q++ {
+		low, high := r.rate(s, q), r.rate(s, q+1)
+		if fair < high {
+			return float64(q) + max(0, (fair-low)/(high-low))
+		}
+	}
+	return float64(last)
+}
+
+// payoff picks the rung with the best payoff up to the fitting one; ties go to the higher rung.
+func payoff(floor, fitting int, reference, mean float64) int {
+	best, most := floor, math.Inf(-1)
+	for q := floor; q <= fitting; q++ {
+		at := float64(q)
+		score := -fairnessWeight*math.Abs(at-reference) -
+			viewerWeight*(float64(fitting)-at+math.Abs(at-mean))
+		if score >= most {
+			best, most = q, score
+		}
+	}
+	return best
+}
+
+// fitting is the highest rung at which the director's count leaves link and uplink under fullAt.
+func (d *Director) fitting(s *session, n *node) int {
+	floor := d.rungs.tariffs[s.Tariff].Floor
+	for q := d.rungs.top(s); q > floor; q-- {
+		link, uplink := d.gauge.counts(n, d.nodes, d.rungs.rate(s, q)-s.carried)
+		if link <= fullAt && uplink <= fullAt {
+			return q
+		}
+	}
+	return floor
+}
+
+func (d *Director) setupRung(s *session, n *node) int {
+	reference := d.rungs.reference(s, n.fair)
+	return payoff(d.rungs.tariffs[s.Tariff].Floor, d.fitting(s, n), reference, reference)
+}
+
+func (d *Director) rescore(s *session) {
+	past := d.now - s.started
+	if past > 0 {
+		weight := float64(d.now-s.scored) / float64(min(past, meanSpan))
+		s.mean += (float64(s.rung) - s.mean) * min(1, weight)
+	}
+	s.scored = d.now
+	if s.node < 0 || d.now-s.switched < switchEvery {
+		return
+	}
+	n := &d.nodes[s.node]
+	fitting := d.fitting(s, n)
+	if n.short {
+		fitting = min(fitting, s.rung)
+	}
+	rung := payoff(d.rungs.tariffs[s.Tariff].Floor, fitting, d.rungs.reference(s, n.fair), s.mean)
+	if rung != s.rung {
+		d.change(s, rung)
+	}
+}
+
+func (d *Director) change(s *session, rung int) {
+	d.do(Rate{s.ID, rung})
+	s.switched = d.now
+	d.carry(s, rung)
+}
+
+// carry books a session's rung at its node; a rung under 0 takes the session off it.
+func (d *Director) carry(s *session, rung int) {
+	rate := 0.0
+	if rung >= 0 {
+		s.rung = rung
+		rate = d.rungs.rate(s, rung)
+		if d.rungs.tariffs[s.Tariff].Live && d.shares(s) {
+			rate *= d.rungs.ladder.JoinAdds
+		}
+	}
+	d.gauge.book(&d.nodes[s.node], rate-s.carried, d.now)
+	s.carried = rate
+}
+
+// shares tells whether a live title's stream already runs where the session is.
+func (d *Director) shares(s *session) bool {
+	for i := range d.sessions {
+		o := &d.sessions[i]
+		if o != s && o.used && o.node == s.node && o.Title == s.Title && o.Tariff == s.Tariff &&
+			o.rung == s.rung {
+			return true
+		}
+	}
+	return false
+}
+
+// note takes news of a session or of the node it is on.
+func (d *Director) note(e Note) {
+	i, ok := d.ids.find(e.ID)
+	if !ok || d.sessions[i].node < 0 {
+		return
+	}
+	s := &d.sessions[i]
+	n := &d.nodes[s.node]
+	if n.name != e.Node {
+		return
+	}
+	switch e.Kind {
+	case RungNote:
+		d.carry(s, int(e.Value))
+		s.mean = float64(s.rung)
+	case ShareNote:
+		n.short = e.Value < shortUnder
+		floor := d.rungs.tariffs[s.Tariff].Floor
+		if e.Value < dropUnder && s.phase == playing && s.rung > floor {
+			d.change(s, floor)
+		}
+	case LinkNote, UplinkNote:
+		late := d.gauge.late
+		if d.now-s.sent < late { // the note of a set-up tells of now
+			late = 0
+		}
+		if e.Kind == LinkNote {
+			n.use = meter{e.Value, true, cut(n.use.changes, d.now-late)}
+			d.warmth.lived(n, s.started)
+		} else {
+			up := &d.gauge.racks[n.rack].use
+			*up = meter{e.Value, true, cut(up.changes, d.now-late)}
+		}
+		d.gauge.fairRates(n.rack, d.nodes)
+	}
+}
+
+// Gauge: what is asked of links and uplinks, by this director's own count.
+
+type gauge struct {
+	fleet     Fleet
+	late      time.Duration
+	directors float64
+	middle    float64 // the middle rung's rate
+	racks     []rack
+}
+
+type rack struct{ use meter }
+
+// A meter is a figure heard and what this director has changed since, kB a second. Changes are
+// dropped once a later figure covers them, and folded when there are many.
+type meter struct {
+	heard   float64
+	known   bool
+	changes []change
+}
+
+type change struct {
+	at time.Duration
+	kB float64
+}
+
+const changesKept = 256
+
+func cut(changes []change, until time.Duration) []change {
+	return slices.DeleteFunc(changes, func(c change) bool { return c.at <= until })
+}
+
+func (m *meter) add(at time.Duration, kB float64) {
+	if len(m.changes) == changesKept {
+		m.changes[1].kB += m.changes[0].kB
+		m.changes = slices.Delete(m.changes, 0, 1)
+	}
+	m.changes = append(m.changes, change{at, kB})
+}
+
+func (m *meter) since() (kB float64) {
+	for _, c := range m.changes {
+		kB += c.kB
+	}
+	return kB
+}
+
+func (g *gauge) book(n *node, kB float64, now time.Duration) {
+	n.own += kB
+	n.use.add(now, kB)
+	g.racks[n.rack].use.add(now, kB)
+}
+
+// link is the part of a node's link that is asked; before any figure has come, the director takes
+// its own use for a fair sample of everybody's.
+func (g *gauge) link(n *node) float64 {
+	if !n.use.known {
+		return n.own * g.directors / n.size
+	}
+	return max(0, n.use.heard+n.use.since()/n.size)
+}
+
+func (g *gauge) uplink(r int, nodes []node) float64 {
+	if up := &g.racks[r].use; up.known {
+		return max(0, up.heard+up.since()/g.fleet.Uplink)
+	}
+	kB := 0.0
+	for i := range nodes {
+		if n := &nodes[i]; n.name != "" && n.rack == r {
+			kB += g.link(n) * n.size
+		}
+	}
+	return kB / g.fleet.Uplink
+}
+
+// counts tells what would be asked of a node's link and uplink with so much more.
+func (g *gauge) counts(n *node, nodes []node, more float64) (link, uplink float64) {
+	return g.link(n) + more/n.size, g.uplink(n.rack, nodes) + more/g.fleet.Uplink
+}
+
+// streams counts a node's streams: from its report, else from its link use.
+func (g *gauge) streams(n *node) float64 {
+	if n.reported >= 0 {
+		return max(0, n.reported+float64(n.legs-n.legsThen))
+	}
+	return g.link(n) * n.size / g.middle
+}
+
+func (g *gauge) report(n *node, load Load, now time.Duration) {
+	if load.Streams >= 0 {
+		n.reported, n.legsThen = load.Streams, n.legs
+	}
+	if load.Link >= 0 && !n.use.known {
+		n.use = meter{load.Link, true, cut(n.use.changes, now-g.late)}
+	}
+}
+
+// fairRates computes the fair rate of every node of a rack.
+func (g *gauge) fairRates(r int, nodes []node) {
+	var links, streams []float64
+	var members []int
+	total := 0.0
+	for i := range nodes {
+		if n := &nodes[i]; n.name != "" && n.rack == r {
+			members = append(members, i)
+			links = append(links, n.size)
+			streams = append(streams, g.streams(n))
+			total += streams[len(streams)-1]
+		}
+	}
+	rates := fair(g.fleet.Uplink/max(1, total), links, streams)
+	for k, i := range members {
+		nodes[i].fair = rates[k]
+	}
+}
+
+// fair is the paper's algorithm 2: nodes whose cap lies at or under the parent rate keep it and
+// pool what they leave; the rest, by rising cap, share the pool.
+func fair(parent float64, links, streams []float64) []float64 {
+	rates := make([]float64, len(links))
+	order := make([]int, len(links))
+	pool, entitled := 0.0, 0.0
+	for i := range links {
+		order[i] = i
+		rates[i] = links[i] / max(1, streams[i])
+		if rates[i] <= parent {
+			pool += (parent - rates[i]) * streams[i]
+		} else {
+			entitled += streams[i]
+		}
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		switch {
+		case rates[a] < rates[b]:
+			return -1
+		case rates[a] > rates[b]:
+			return 1
+		}
+		return 0
+	})
+	for _, i := range order {
+		if cap := rates[i]; cap > parent {
+			if entitled > 0 {
+				rates[i] = min(cap, parent+pool/entitled)
+			} // an entitled node without streams keeps its cap
+			pool -= (rates[i] - parent) * streams[i]
+			entitled -= streams[i]
+		}
+	}
+	return rates
+}
+
+// Nodes and the list.
+
+type node struct {
+	name     string // empty: the place is free
+	listed   NodeState
+	cell     int
+	rack     int
+	kind     int
+	born     time.Duration
+	size     float64 // link, kB a second
+	legs     int     // of this director, set-ups and sessions
+	own      float64 // kB a second booked by this director
+	use      meter
+	reported float64 // streams last reported; under 0: never
+	legsThen int
+	fair     float64
+	short    bool // the last share note told of short delivery
+	health   health
+	vouched  bool            // sessions were handed over on it
+	sends    []time.Duration // emptied as they grow older than the tipping time
+	doubted  time.Duration   // when its failure was last witnessed; under 0: not
+	warmAt   time.Duration
+}
+
+func (d *Director) roster(e Roster) {
+	if e.Kind == Unavailable {
+		return // the next pulse past the asking time asks again
+	}
+	if e.Kind != Update {
+		for i := range d.nodes {
+			n := &d.nodes[i]
+			named := slices.ContainsFunc(e.Entries, func(x Entry) bool { return x.Node == n.name })
+			if n.name != "" && !named {
+				n.listed = Removed
+				d.dropNode(i)
+			}
+		}
+	}
+	for _, x := range e.Entries {
+		i, known := d.names.find(x.Node)
+		if !known {
+			if x.State == Removed {
+				continue
+			}
+			var grown bool
+			if i, grown = d.names.enter(x.Node); grown {
+				d.nodes = append(d.nodes, node{})
+			}
+			d.nodes[i] = node{name: x.Node, born: LongAgo, reported: -1, doubted: -1}
+		}
+		n := &d.nodes[i]
+		if x.Born > n.born && n.born != LongAgo {
+			n.health, n.vouched = health{}, false
+		}
+		n.listed, n.cell, n.kind, n.born = x.State, x.Cell, x.Kind, x.Born
+		n.rack = x.Cell % len(d.gauge.racks)
+		n.size = d.gauge.fleet.LinkUnit * x.Weight
+		if n.size <= 0 {
+			n.size = max(1, d.gauge.fleet.LinkUnit)
+		}
+		if x.State == Removed {
+			d.dropNode(i)
+		}
+	}
+	for r := range d.gauge.racks {
+		d.gauge.fairRates(r, d.nodes)
+	}
+}
+
+// dropNode forgets a node that is off the list once none of its sessions is left.
+func (d *Director) dropNode(i int) {
+	if n := &d.nodes[i]; n.listed == Removed && n.legs == 0 {
+		d.names.leave(n.name)
+		*n = node{}
+	}
+}
+
+func (d *Director) ask() {
+	d.asked = d.now
+	d.do(Listen{})
+}
+
+// Health, from symptoms alone.
+
+// pauseLegs is how many leg times a node is left alone after a failed leg; trusted is the trickle
+// at which a node counts as well again.
+const (
+	pauseLegs = 8
+	trusted   = 8
+)
+
+// health is a node's standing: 0 trickle is a node in good health, else it is set aside until a
+// time and then gets so many legs at once, twice as many after each that goes well.
+type health struct {
+	trickle int
+	until   time.Duration
+	base    int // legs there when the trickle began
+}
+
+func (h *health) may(legs int, paid bool, now time.Duration) bool {
+	if h.trickle == 0 {
+		return true
+	}
+	return !paid && now >= h.until && legs-h.base < h.trickle
+}
+
+func (h *health) wentWell() (well bool) {
+	if h.trickle == 0 {
+		return false
+	}
+	h.trickle *= 2
+	if h.trickle >= trusted {
+		*h = health{}
+		return true
+	}
+	return false
+}
+
+// symptom holds a leg's end, or its long silence, against the node.
+func (d *Director) symptom(n *node, s *session, o Outcome) {
+	s.suspected = true
+	if o == Full { // it runs, but has no room: its figure must be out of date
+		n.use.heard = max(n.use.heard, d.gauge.fleet.RefusesFrom-n.use.since()/n.size)
+		return
+	}
+	if o != Errored {
+		d.warmth.doubt(n, d.now)
+	}
+	if n.health.trickle == 0 {
+		d.log("node %s set aside: outcome %d after %v", n.name, o, d.now-s.sent)
+	}
+	goal := d.rungs.tariffs[s.Tariff].GoalTime
+	n.health = health{trickle: 1, until: d.now + pauseLegs*legTime(goal), base: n.legs}
+	suspects, all := 0, 0
+	for i := range d.nodes {
+		if o := &d.nodes[i]; o.name != "" && o.listed == Up {
+			all++
+			if o.health.trickle > 0 {
+				suspects++
+			}
+		}
+	}
+	if nearly := suspects*2 > all; nearly != d.panicked {
+		d.panicked = nearly
+		d.log("suspecting %d of %d nodes: distrust is %v", suspects, all, !nearly)
+	}
+}
+
+// Warmth: what a node that may have just started can take.
+
+type warmth struct {
+	ramp  Ramp
+	peers Peers
+}
+
+// cold tells whether a node may be warming up: it is newly listed as started, or its failure was
+// witnessed, or this director has just started itself and can't know.
+func (w *warmth) cold(n *node, now time.Duration) bool {
+	return n.born != LongAgo && now < n.born+w.ramp.Warmup || n.doubted >= 0 || now < n.warmAt ||
+		now < w.ramp.Warmup && !n.vouched
+}
+
+// may keeps all directors together under the fall budget of a node that may be cold. Where the
+// budget has no whole set-up for each director, one of them, told by the node's name, has it all.
+func (w *warmth) may(n *node, now time.Duration) bool {
+	n.sends = slices.DeleteFunc(n.sends, func(at time.Duration) bool { return now-at > w.ramp.TipAfter })
+	if !w.cold(n, now) {
+		return true
+	}
+	places := 1.0
+	if n.kind < len(w.ramp.Places) {
+		places = w.ramp.Places[n.kind]
+	}
+	budget := w.ramp.Multiple * places * w.ramp.ColdFrom * w.ramp.TipAfter.Seconds() /
+		max(w.ramp.Warmup, time.Millisecond).Seconds()
+	directors := max(1, w.peers.Directors)
+	mine := int(budget / float64(directors))
+	if mine == 0 && owner(n.name, directors) == w.peers.Me {
+		mine = int(budget)
+	}
+	return len(n.sends) < mine
+}
+
+func owner(name string, directors int) int {
+	sum := uint32(2166136261) // FNV-1a
+	for i := range len(name) {
+		sum = (sum ^ uint32(name[i])) * 16777619
+	}
+	return int(sum % uint32(directors))
+}
+
+func (w *warmth) sent(n *node, now time.Duration) { n.sends = append(n.sends, now) }
+
+func (w *warmth) doubt(n *node, now time.Duration) { n.doubted = now }
+
+// answered ends the doubt: the node runs, and is warm a warm-up from now at the latest.
+func (w *warmth) answered(n *node, now time.Duration) {
+	if n.doubted >= 0 {
+		n.doubted, n.warmAt = -1, now+w.ramp.Warmup
+	}
+}
+
+// lived takes the word of a session that plays on: a node with one from before the doubt never died.
+func (w *warmth) lived(n *node, started time.Duration) {
+	if n.doubted >= 0 && started < n.doubted {
+		n.doubted = -1
+	}
+}
+
+// Rations of further legs.
+
+type ration struct {
+	legs  Legs
+	taken []time.Duration // both are emptied as they grow older than the span
+	spent []time.Duration
+}
+
+func (r *ration) took(now time.Duration) {
+	if r.legs.Span > 0 {
+		r.taken = append(recent(r.taken, now-r.legs.Span), now)
+	}
+}
+
+func (r *ration) may(now time.Duration) bool {
+	if r.legs.Span == 0 {
+		return true
+	}
+	r.taken, r.spent = recent(r.taken, now-r.legs.Span), recent(r.spent, now-r.legs.Span)
+	return float64(len(r.spent)+1) <= r.legs.Spare+r.legs.Share*float64(len(r.taken))
+}
+
+func (r *ration) spend(now time.Duration) {
+	if r.legs.Span > 0 {
+		r.spent = append(r.spent, now)
+	}
+}
+
+func recent(times []time.Duration, after time.Duration) []time.Duration {
+	return slices.DeleteFunc(times, func(at time.Duration) bool { return at <= after })
+}
