--- a/policy/policy.go
+++ b/policy/policy.go
@@ -54,7 +54,7 @@
 		rungs:  rungs{ladder, tariffs},
 		gauge: gauge{fleet: fleet, late: tidings.Late, directors: float64(max(1, peers.Directors)),
 			middle: ladder.Rates[len(ladder.Rates)/2], racks: make([]rack, max(1, fleet.Racks))},
-		warmth:  warmth{ramp, peers},
+		warmth:  warmth{ramp: ramp, peers: peers},
 		ration:  ration{legs: legs},
 		backoff: tidings.Backoff,
 		watch:   ramp.AskWithin / 2,
@@ -146,7 +146,7 @@
 	s.mean = float64(s.rung)
 	if n, ok := d.names.find(e.Playing); ok {
 		s.node = n
-		d.nodes[n].vouched = true
+		d.warmth.handed = true
 		d.nodes[n].legs++
 		d.carry(s, s.rung)
 	}
@@ -416,6 +416,9 @@
 		return
 	}
 	n := &d.nodes[s.node]
+	if !n.use.known {
+		return // nothing heard of the node yet: no ground for a change
+	}
 	fitting := d.fitting(s, n)
 	if n.short {
 		fitting = min(fitting, s.rung)
@@ -481,7 +484,7 @@
 		}
 	case LinkNote, UplinkNote:
 		late := d.gauge.late
-		if d.now-s.sent < late { // the note of a set-up tells of now
+		if s.phase == setting || d.now == s.started { // the note of a set-up tells of now
 			late = 0
 		}
 		if e.Kind == LinkNote {
@@ -664,7 +667,6 @@
 	fair     float64
 	short    bool // the last share note told of short delivery
 	health   health
-	vouched  bool            // sessions were handed over on it
 	sends    []time.Duration // emptied as they grow older than the tipping time
 	doubted  time.Duration   // when its failure was last witnessed; under 0: not
 	warmAt   time.Duration
@@ -698,7 +700,7 @@
 		}
 		n := &d.nodes[i]
 		if x.Born > n.born && n.born != LongAgo {
-			n.health, n.vouched = health{}, false
+			n.health = health{}
 		}
 		n.listed, n.cell, n.kind, n.born = x.State, x.Cell, x.Kind, x.Born
 		n.rack = x.Cell % len(d.gauge.racks)
@@ -797,15 +799,16 @@
 // Warmth: what a node that may have just started can take.
 
 type warmth struct {
-	ramp  Ramp
-	peers Peers
+	ramp   Ramp
+	peers  Peers
+	handed bool // sessions were handed over at the start, so the first list came in order with them
 }
 
 // cold tells whether a node may be warming up: it is newly listed as started, or its failure was
 // witnessed, or this director has just started itself and can't know.
 func (w *warmth) cold(n *node, now time.Duration) bool {
 	return n.born != LongAgo && now < n.born+w.ramp.Warmup || n.doubted >= 0 || now < n.warmAt ||
-		now < w.ramp.Warmup && !n.vouched
+		now < w.ramp.Warmup && !w.handed
 }
 
 // may keeps all directors together under the fall budget of a node that may be cold. Where the
