Count the other directors' like changes: one hearing of a full link no longer empties it

A change of a playing session now counts as often as the asked total holds this director's own part.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -148,7 +148,7 @@
 		s.node = n
 		d.warmth.handed = true
 		d.nodes[n].legs++
-		d.carry(s, s.rung)
+		d.carry(s, s.rung, false)
 	}
 }
 
@@ -197,7 +197,7 @@
 	was := s.phase
 	if s.node >= 0 {
 		n := &d.nodes[s.node]
-		d.carry(s, -1)
+		d.carry(s, -1, false)
 		n.legs--
 		d.gauge.report(n, e.Load, d.now)
 		if e.Outcome != Served && e.Outcome != Cancelled && e.Outcome != Moot {
@@ -289,7 +289,7 @@
 	s.phase, s.sent, s.suspected = setting, d.now, false
 	n.legs++
 	d.warmth.sent(n, d.now)
-	d.carry(s, rung)
+	d.carry(s, rung, false)
 }
 
 // seated counts the sessions that hold a seat of this one's title and tariff.
@@ -319,7 +319,8 @@
 		if !d.panicked && !n.health.may(n.legs, t.Paid, d.now) {
 			continue
 		}
-		switch link, uplink := d.gauge.counts(n, d.nodes, d.rungs.rate(s, t.Floor)); {
+		least := d.rungs.rate(s, t.Floor)
+		switch link, uplink := d.gauge.counts(n, d.nodes, least, least); {
 		case link <= fullAt && uplink <= fullAt:
 			roomy = append(roomy, i)
 		case d.gauge.fleet.RefusesFrom == 0 || d.gauge.link(n) < d.gauge.fleet.RefusesFrom:
@@ -391,8 +392,13 @@
 // fitting is the highest rung at which the director's count leaves link and uplink under fullAt.
 func (d *Director) fitting(s *session, n *node) int {
 	floor := d.rungs.tariffs[s.Tariff].Floor
+	onLink, onUplink := 1.0, 1.0
+	if s.phase == playing {
+		onLink, onUplink = d.gauge.echoes(n)
+	}
 	for q := d.rungs.top(s); q > floor; q-- {
-		link, uplink := d.gauge.counts(n, d.nodes, d.rungs.rate(s, q)-s.carried)
+		more := d.rungs.rate(s, q) - s.carried
+		link, uplink := d.gauge.counts(n, d.nodes, more*onLink, more*onUplink)
 		if link <= fullAt && uplink <= fullAt {
 			return q
 		}
@@ -432,11 +438,11 @@
 func (d *Director) change(s *session, rung int) {
 	d.do(Rate{s.ID, rung})
 	s.switched = d.now
-	d.carry(s, rung)
+	d.carry(s, rung, true)
 }
 
 // carry books a session's rung at its node; a rung under 0 takes the session off it.
-func (d *Director) carry(s *session, rung int) {
+func (d *Director) carry(s *session, rung int, echo bool) {
 	rate := 0.0
 	if rung >= 0 {
 		s.rung = rung
@@ -445,7 +451,7 @@
 			rate *= d.rungs.ladder.JoinAdds
 		}
 	}
-	d.gauge.book(&d.nodes[s.node], rate-s.carried, d.now)
+	d.gauge.book(&d.nodes[s.node], rate-s.carried, d.now, echo)
 	s.carried = rate
 }
 
@@ -474,7 +480,7 @@
 	}
 	switch e.Kind {
 	case RungNote:
-		d.carry(s, int(e.Value))
+		d.carry(s, int(e.Value), false)
 		s.mean = float64(s.rung)
 	case ShareNote:
 		n.short = e.Value < shortUnder
@@ -508,7 +514,10 @@
 	racks     []rack
 }
 
-type rack struct{ use meter }
+type rack struct {
+	use meter
+	own float64 // kB a second booked by this director
+}
 
 // A meter is a figure heard and what this director has changed since, kB a second. Changes are
 // dropped once a later figure covers them, and folded when there are many.
@@ -544,10 +553,29 @@
 	return kB
 }
 
-func (g *gauge) book(n *node, kB float64, now time.Duration) {
+func (g *gauge) book(n *node, kB float64, now time.Duration, echo bool) {
+	link, uplink := 1.0, 1.0
+	if echo {
+		link, uplink = g.echoes(n)
+	}
 	n.own += kB
-	n.use.add(now, kB)
-	g.racks[n.rack].use.add(now, kB)
+	g.racks[n.rack].own += kB
+	n.use.add(now, kB*link)
+	g.racks[n.rack].use.add(now, kB*uplink)
+}
+
+// echoes tells how many times over a change of a session that plays counts: the other directors
+// hear the same figure and act on it alike, each on its part of what is asked.
+func (g *gauge) echoes(n *node) (link, uplink float64) {
+	r := &g.racks[n.rack]
+	return echo(n.use, n.size, n.own, g.directors), echo(r.use, g.fleet.Uplink, r.own, g.directors)
+}
+
+func echo(m meter, size, own, most float64) float64 {
+	if !m.known || own <= 0 {
+		return 1
+	}
+	return min(max(1, m.heard*size/own), 2*most)
 }
 
 // link is the part of a node's link that is asked; before any figure has come, the director takes
@@ -573,8 +601,8 @@
 }
 
 // counts tells what would be asked of a node's link and uplink with so much more.
-func (g *gauge) counts(n *node, nodes []node, more float64) (link, uplink float64) {
-	return g.link(n) + more/n.size, g.uplink(n.rack, nodes) + more/g.fleet.Uplink
+func (g *gauge) counts(n *node, nodes []node, onLink, onUplink float64) (link, uplink float64) {
+	return g.link(n) + onLink/n.size, g.uplink(n.rack, nodes) + onUplink/g.fleet.Uplink
 }
 
 // streams counts a node's streams: from its report, else from its link use.
