--- a/policy/policy.go
+++ b/policy/policy.go
@@ -399,7 +399,7 @@
 	for q := d.rungs.top(s); q > floor; q-- {
 		more := d.rungs.rate(s, q) - s.carried
 		link, uplink := d.gauge.counts(n, d.nodes, more*onLink, more*onUplink)
-		if link <= fullAt && uplink <= fullAt {
+		if bound := max(link, uplink); bound <= fullAt || s.phase == playing && q <= s.rung && bound <= 1 {
 			return q
 		}
 	}
