--- a/internal/simwire/conf.go
+++ b/internal/simwire/conf.go
@@ -10,8 +10,9 @@
 
 // Conf is what the wire tells at a start; keys that are not listed here are skipped.
 type Conf struct {
-	Me        int `json:"me"`
-	Directors int `json:"balancers"`
+	Me        int    `json:"me"`
+	Directors int    `json:"balancers"`
+	Zone      string `json:"zone"`
 	Classes   []struct {
 		Name      string  `json:"name"`
 		Target    float64 `json:"target_s"`
@@ -45,6 +46,9 @@
 		RetryAfter  bool    `json:"retry_after"`
 		MaxBackoff  float64 `json:"max_retry_after_s"`
 	} `json:"permissions"`
+	Prices struct {
+		Crossing float64 `json:"cross_zone"`
+	} `json:"prices"`
 	Report struct {
 		Fields []string `json:"fields"`
 	} `json:"report"`
@@ -113,10 +117,10 @@
 	if c.Permissions.RetryAfter {
 		backoff = Span(c.Permissions.MaxBackoff)
 	}
-	return policy.New(seed, policy.Peers{Me: c.Me, Directors: c.Directors}, tariffs, ladder,
+	return policy.New(seed, policy.Peers{Me: c.Me, Directors: c.Directors, Zone: c.Zone}, tariffs, ladder,
 		policy.Fleet{
 			Cells: f.Cells, Racks: f.Racks, LinkUnit: f.LinkUnit, Uplink: f.Uplink,
-			RefusesFrom: f.RefusesFrom,
+			Crossing: c.Prices.Crossing, RefusesFrom: f.RefusesFrom,
 		}, ramp,
 		policy.Legs{
 			Most: c.Permissions.MaxAttempts, Spare: c.Rules.Spare, Share: c.Rules.Extra,
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -33,6 +33,7 @@
 	chance   *pcg
 	rungs    rungs
 	gauge    gauge
+	zone     string
 	warmth   warmth
 	ration   ration
 	backoff  time.Duration
@@ -54,6 +55,7 @@
 		rungs:  rungs{ladder, tariffs},
 		gauge: gauge{fleet: fleet, late: tidings.Late, directors: float64(max(1, peers.Directors)),
 			middle: ladder.Rates[len(ladder.Rates)/2], racks: make([]rack, max(1, fleet.Racks))},
+		zone:    peers.Zone,
 		warmth:  warmth{ramp: ramp, peers: peers},
 		ration:  ration{legs: legs},
 		backoff: tidings.Backoff,
@@ -248,6 +250,10 @@
 
 // Placing.
 
+// crossingWeight is how much more of its link a node may have asked than one in another zone, for
+// each part of a session's worth that crossing costs.
+const crossingWeight = 10
+
 // legTime is how long a leg may take before its node is suspect: two such legs and the time to
 // choose fit into the goal time.
 func legTime(goal time.Duration) time.Duration { return goal * 2 / 5 }
@@ -341,12 +347,21 @@
 	if b >= a {
 		b++
 	}
-	if d.gauge.link(&d.nodes[roomy[b]]) < d.gauge.link(&d.nodes[roomy[a]]) {
+	if d.weighed(&d.nodes[roomy[b]]) < d.weighed(&d.nodes[roomy[a]]) {
 		a = b
 	}
 	return roomy[a]
 }
 
+// weighed is a node's link share, and what crossing to its zone costs set against it.
+func (d *Director) weighed(n *node) float64 {
+	share := d.gauge.link(n)
+	if n.zone != d.zone {
+		share += crossingWeight * d.gauge.fleet.Crossing
+	}
+	return share
+}
+
 // Rungs.
 
 type rungs struct {
@@ -682,6 +697,7 @@
 type node struct {
 	name     string // empty: the place is free
 	listed   NodeState
+	zone     string
 	cell     int
 	rack     int
 	kind     int
@@ -730,7 +746,7 @@
 		if x.Born > n.born && n.born != LongAgo {
 			n.health = health{}
 		}
-		n.listed, n.cell, n.kind, n.born = x.State, x.Cell, x.Kind, x.Born
+		n.listed, n.zone, n.cell, n.kind, n.born = x.State, x.Zone, x.Cell, x.Kind, x.Born
 		n.rack = x.Cell % len(d.gauge.racks)
 		n.size = d.gauge.fleet.LinkUnit * x.Weight
 		if n.size <= 0 {
--- a/policy/types.go
+++ b/policy/types.go
@@ -174,7 +174,10 @@
 func (Log) action()      {}
 
 // Peers places this director among its kind.
-type Peers struct{ Me, Directors int }
+type Peers struct {
+	Me, Directors int
+	Zone          string
+}
 
 // Tariff is what one kind of session was promised.
 type Tariff struct {
@@ -203,6 +206,7 @@
 	Cells, Racks int
 	LinkUnit     float64 // link of a node, kB a second, for each unit of weight
 	Uplink       float64 // mean uplink of a rack, kB a second
+	Crossing     float64 // price of a session that crosses zones, as a part of its worth
 	RefusesFrom  float64 // a node answers full from so much of its link asked; 0: never
 }
 
