--- a/policy/policy.go
+++ b/policy/policy.go
@@ -18,7 +18,9 @@
 	rescoreEvery   = 2 * time.Second
 	switchEvery    = 10 * time.Second
 	meanSpan       = 70 * time.Second
-	fullAt         = 0.95 // of a link or uplink
+	fullAt         = 0.95 // of a link or uplink: a node with more asked is chosen last
+	raiseTo        = 0.8  // a rung is newly taken up to here
+	keepTo         = 1.0  // and a rung in force is kept up to here
 	dropUnder      = 0.75 // share delivered
 	shortUnder     = 0.98 // share delivered
 )
@@ -404,7 +406,9 @@
 	return best
 }
 
-// fitting is the highest rung at which the director's count leaves link and uplink under fullAt.
+// fitting is the highest rung that the director's count of link and uplink use has room for. What
+// is newly taken leaves more room than what is kept: it guards against a figure that is noisy and
+// seconds old, of which everybody takes the same room, and against stepping to and fro.
 func (d *Director) fitting(s *session, n *node) int {
 	floor := d.rungs.tariffs[s.Tariff].Floor
 	onLink, onUplink := 1.0, 1.0
@@ -414,7 +418,8 @@
 	for q := d.rungs.top(s); q > floor; q-- {
 		more := d.rungs.rate(s, q) - s.carried
 		link, uplink := d.gauge.counts(n, d.nodes, more*onLink, more*onUplink)
-		if bound := max(link, uplink); bound <= fullAt || s.phase == playing && q <= s.rung && bound <= 1 {
+		use := max(link, uplink)
+		if use <= raiseTo || s.phase == playing && q <= s.rung && use <= keepTo {
 			return q
 		}
 	}
