--- a/policy/pcg.go
+++ b/policy/pcg.go
@@ -19,3 +19,12 @@
 
 // below draws from 0 to n-1.
 func (p *pcg) below(n int) int { return int(uint64(p.next()) * uint64(n) >> 32) }
+
+// owner picks one of so many by a name.
+func owner(name string, directors int) int {
+	sum := uint32(2166136261) // FNV-1a
+	for i := range len(name) {
+		sum = (sum ^ uint32(name[i])) * 16777619
+	}
+	return int(sum % uint32(directors))
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -42,7 +42,7 @@
 	watch    time.Duration // how often the list is asked for; 0: it is pushed
 	asked    time.Duration
 	begun    bool
-	panicked bool         // nearly everyone is suspect
+	trusting bool         // nearly everyone is suspect, so nobody is
 	ids      door[uint64] // emptied as sessions end
 	sessions []session    // a place is used again once its session has left the door
 	names    door[string] // emptied as nodes leave the list and their last session ends
@@ -105,33 +105,6 @@
 
 // Sessions.
 
-type phase int
-
-const (
-	held phase = iota // taken, no leg out
-	setting
-	playing
-)
-
-type session struct {
-	Demand
-	used      bool // the place is taken
-	phase     phase
-	ended     bool // the viewer has its answer or has left; only a leg's end is awaited
-	ran       bool // some earlier leg may have run
-	came      time.Duration
-	node      int
-	tried     []int // nodes of earlier legs; at most Legs.Most
-	sent      time.Duration
-	started   time.Duration
-	suspected bool // this leg has already been held against its node
-	rung      int
-	switched  time.Duration
-	scored    time.Duration
-	mean      float64
-	carried   float64 // kB a second booked at the node
-}
-
 func (d *Director) demand(e Demand) {
 	i, grown := d.ids.enter(e.ID)
 	if grown {
@@ -186,6 +159,7 @@
 	s.phase, s.started, s.switched = playing, d.now, d.now-switchEvery
 	s.scored, s.mean = d.now, float64(s.rung)
 	n := &d.nodes[s.node]
+	n.outs--
 	d.warmth.answered(n, d.now)
 	if n.health.wentWell() {
 		d.log("node %s is trusted again", n.name)
@@ -203,6 +177,9 @@
 		n := &d.nodes[s.node]
 		d.carry(s, -1, false)
 		n.legs--
+		if was == setting {
+			n.outs--
+		}
 		d.gauge.report(n, e.Load, d.now)
 		if e.Outcome != Served && e.Outcome != Cancelled && e.Outcome != Moot {
 			d.symptom(n, s, e.Outcome)
@@ -296,22 +273,11 @@
 	d.do(Dispatch{s.ID, n.name, within})
 	s.phase, s.sent, s.suspected = setting, d.now, false
 	n.legs++
+	n.outs++
 	d.warmth.sent(n, d.now)
 	d.carry(s, rung, false)
 }
 
-// seated counts the sessions that hold a seat of this one's title and tariff.
-func (d *Director) seated(s *session) int {
-	count := 0
-	for i := range d.sessions {
-		o := &d.sessions[i]
-		if o.used && o.phase != held && o.Title == s.Title && o.Tariff == s.Tariff {
-			count++
-		}
-	}
-	return count
-}
-
 // choose picks the lower link share of two random holders that may take the session: first among
 // those with room at the lowest rung, then among any that would not turn it away.
 func (d *Director) choose(s *session, t *Tariff) int {
@@ -324,7 +290,7 @@
 		if slices.Contains(s.tried, i) || !d.warmth.may(n, d.now) {
 			continue
 		}
-		if !d.panicked && !n.health.may(n.legs, t.Paid, d.now) {
+		if !d.trusting && !n.health.may(n.outs, t.Paid, d.now) {
 			continue
 		}
 		least := d.rungs.rate(s, t.Floor)
@@ -475,18 +441,6 @@
 	s.carried = rate
 }
 
-// shares tells whether a live title's stream already runs where the session is.
-func (d *Director) shares(s *session) bool {
-	for i := range d.sessions {
-		o := &d.sessions[i]
-		if o != s && o.used && o.node == s.node && o.Title == s.Title && o.Tariff == s.Tariff &&
-			o.rung == s.rung {
-			return true
-		}
-	}
-	return false
-}
-
 // note takes news of a session or of the node it is on.
 func (d *Director) note(e Note) {
 	i, ok := d.ids.find(e.ID)
@@ -526,53 +480,6 @@
 
 // Gauge: what is asked of links and uplinks, by this director's own count.
 
-type gauge struct {
-	fleet     Fleet
-	late      time.Duration
-	directors float64
-	middle    float64 // the middle rung's rate
-	racks     []rack
-}
-
-type rack struct {
-	use meter
-	own float64 // kB a second booked by this director
-}
-
-// A meter is a figure heard and what this director has changed since, kB a second. Changes are
-// dropped once a later figure covers them, and folded when there are many.
-type meter struct {
-	heard   float64
-	known   bool
-	changes []change
-}
-
-type change struct {
-	at time.Duration
-	kB float64
-}
-
-const changesKept = 256
-
-func cut(changes []change, until time.Duration) []change {
-	return slices.DeleteFunc(changes, func(c change) bool { return c.at <= until })
-}
-
-func (m *meter) add(at time.Duration, kB float64) {
-	if len(m.changes) == changesKept {
-		m.changes[1].kB += m.changes[0].kB
-		m.changes = slices.Delete(m.changes, 0, 1)
-	}
-	m.changes = append(m.changes, change{at, kB})
-}
-
-func (m *meter) since() (kB float64) {
-	for _, c := range m.changes {
-		kB += c.kB
-	}
-	return kB
-}
-
 func (g *gauge) book(n *node, kB float64, now time.Duration, echo bool) {
 	link, uplink := 1.0, 1.0
 	if echo {
@@ -580,8 +487,8 @@
 	}
 	n.own += kB
 	g.racks[n.rack].own += kB
-	n.use.add(now, kB*link)
-	g.racks[n.rack].use.add(now, kB*uplink)
+	n.use.add(now, g.late, kB*link)
+	g.racks[n.rack].use.add(now, g.late, kB*uplink)
 }
 
 // echoes tells how many times over a change of a session that plays counts: the other directors
@@ -699,28 +606,6 @@
 
 // Nodes and the list.
 
-type node struct {
-	name     string // empty: the place is free
-	listed   NodeState
-	zone     string
-	cell     int
-	rack     int
-	kind     int
-	born     time.Duration
-	size     float64 // link, kB a second
-	legs     int     // of this director, set-ups and sessions
-	own      float64 // kB a second booked by this director
-	use      meter
-	reported float64 // streams last reported; under 0: never
-	legsThen int
-	fair     float64
-	short    bool // the last share note told of short delivery
-	health   health
-	sends    []time.Duration // emptied as they grow older than the tipping time
-	doubted  time.Duration   // when its failure was last witnessed; under 0: not
-	warmAt   time.Duration
-}
-
 func (d *Director) roster(e Roster) {
 	if e.Kind == Unavailable {
 		return // the next pulse past the asking time asks again
@@ -788,19 +673,11 @@
 	trusted   = 8
 )
 
-// health is a node's standing: 0 trickle is a node in good health, else it is set aside until a
-// time and then gets so many legs at once, twice as many after each that goes well.
-type health struct {
-	trickle int
-	until   time.Duration
-	base    int // legs there when the trickle began
-}
-
-func (h *health) may(legs int, paid bool, now time.Duration) bool {
+func (h *health) may(outs int, paid bool, now time.Duration) bool {
 	if h.trickle == 0 {
 		return true
 	}
-	return !paid && now >= h.until && legs-h.base < h.trickle
+	return !paid && now >= h.until && outs < h.trickle
 }
 
 func (h *health) wentWell() (well bool) {
@@ -829,7 +706,7 @@
 		d.log("node %s set aside: outcome %d after %v", n.name, o, d.now-s.sent)
 	}
 	goal := d.rungs.tariffs[s.Tariff].GoalTime
-	n.health = health{trickle: 1, until: d.now + pauseLegs*legTime(goal), base: n.legs}
+	n.health = health{trickle: 1, until: d.now + pauseLegs*legTime(goal)}
 	suspects, all := 0, 0
 	for i := range d.nodes {
 		if o := &d.nodes[i]; o.name != "" && o.listed == Up {
@@ -839,20 +716,14 @@
 			}
 		}
 	}
-	if nearly := suspects*2 > all; nearly != d.panicked {
-		d.panicked = nearly
+	if nearly := suspects*2 > all; nearly != d.trusting {
+		d.trusting = nearly
 		d.log("suspecting %d of %d nodes: distrust is %v", suspects, all, !nearly)
 	}
 }
 
 // Warmth: what a node that may have just started can take.
 
-type warmth struct {
-	ramp   Ramp
-	peers  Peers
-	handed bool // sessions were handed over at the start, so the first list came in order with them
-}
-
 // cold tells whether a node may be warming up: it is newly listed as started, or its failure was
 // witnessed, or this director has just started itself and can't know.
 func (w *warmth) cold(n *node, now time.Duration) bool {
@@ -867,6 +738,9 @@
 	if !w.cold(n, now) {
 		return true
 	}
+	if now < w.ramp.TipAfter && !w.handed && n.born != LongAgo {
+		return false // a predecessor of this director may just have spent its part
+	}
 	places := 1.0
 	if n.kind < len(w.ramp.Places) {
 		places = w.ramp.Places[n.kind]
@@ -881,18 +755,6 @@
 	return len(n.sends) < mine
 }
 
-func owner(name string, directors int) int {
-	sum := uint32(2166136261) // FNV-1a
-	for i := range len(name) {
-		sum = (sum ^ uint32(name[i])) * 16777619
-	}
-	return int(sum % uint32(directors))
-}
-
-func (w *warmth) sent(n *node, now time.Duration) { n.sends = append(n.sends, now) }
-
-func (w *warmth) doubt(n *node, now time.Duration) { n.doubted = now }
-
 // answered ends the doubt: the node runs, and is warm a warm-up from now at the latest.
 func (w *warmth) answered(n *node, now time.Duration) {
 	if n.doubted >= 0 {
@@ -909,18 +771,6 @@
 
 // Rations of further legs.
 
-type ration struct {
-	legs  Legs
-	taken []time.Duration // both are emptied as they grow older than the span
-	spent []time.Duration
-}
-
-func (r *ration) took(now time.Duration) {
-	if r.legs.Span > 0 {
-		r.taken = append(recent(r.taken, now-r.legs.Span), now)
-	}
-}
-
 func (r *ration) may(now time.Duration) bool {
 	if r.legs.Span == 0 {
 		return true
@@ -928,13 +778,3 @@
 	r.taken, r.spent = recent(r.taken, now-r.legs.Span), recent(r.spent, now-r.legs.Span)
 	return float64(len(r.spent)+1) <= r.legs.Spare+r.legs.Share*float64(len(r.taken))
 }
-
-func (r *ration) spend(now time.Duration) {
-	if r.legs.Span > 0 {
-		r.spent = append(r.spent, now)
-	}
-}
-
-func recent(times []time.Duration, after time.Duration) []time.Duration {
-	return slices.DeleteFunc(times, func(at time.Duration) bool { return at <= after })
-}
--- /dev/null
+++ b/policy/state.go
@@ -0,0 +1,166 @@
+package policy
+
+import (
+	"slices"
+	"time"
+)
+
+// What the director keeps between events; what is done with it is in policy.go.
+
+type phase int
+
+const (
+	held phase = iota // taken, no leg out
+	setting
+	playing
+)
+
+type session struct {
+	Demand
+	used      bool // the place is taken
+	phase     phase
+	ended     bool // the viewer has its answer or has left; only a leg's end is awaited
+	ran       bool // some earlier leg may have run
+	came      time.Duration
+	node      int
+	tried     []int // nodes of earlier legs; at most Legs.Most
+	sent      time.Duration
+	started   time.Duration
+	suspected bool // this leg has already been held against its node
+	rung      int
+	switched  time.Duration
+	scored    time.Duration
+	mean      float64
+	carried   float64 // kB a second booked at the node
+}
+
+type rack struct {
+	use meter
+	own float64 // kB a second booked by this director
+}
+
+// A meter is a figure heard and what this director has changed since, kB a second. Changes are
+// dropped once a later figure covers them, and folded once any later figure will.
+type meter struct {
+	heard   float64
+	known   bool
+	changes []change
+}
+
+type change struct {
+	at time.Duration
+	kB float64
+}
+
+func cut(changes []change, until time.Duration) []change {
+	return slices.DeleteFunc(changes, func(c change) bool { return c.at <= until })
+}
+
+func (m *meter) add(at, late time.Duration, kB float64) {
+	m.changes = append(m.changes, change{at, kB})
+	for len(m.changes) > 1 && m.changes[1].at <= at-late {
+		m.changes[1].kB += m.changes[0].kB
+		m.changes = slices.Delete(m.changes, 0, 1)
+	}
+}
+
+func (m *meter) since() (kB float64) {
+	for _, c := range m.changes {
+		kB += c.kB
+	}
+	return kB
+}
+
+type node struct {
+	name     string // empty: the place is free
+	listed   NodeState
+	zone     string
+	cell     int
+	rack     int
+	kind     int
+	born     time.Duration
+	size     float64 // link, kB a second
+	legs     int     // of this director, set-ups and sessions
+	outs     int     // of these, set-ups
+	own      float64 // kB a second booked by this director
+	use      meter
+	reported float64 // streams last reported; under 0: never
+	legsThen int
+	fair     float64
+	short    bool // the last share note told of short delivery
+	health   health
+	sends    []time.Duration // emptied as they grow older than the tipping time
+	doubted  time.Duration   // when its failure was last witnessed; under 0: not
+	warmAt   time.Duration
+}
+
+type ration struct {
+	legs  Legs
+	taken []time.Duration // both are emptied as they grow older than the span
+	spent []time.Duration
+}
+
+func (r *ration) took(now time.Duration) {
+	if r.legs.Span > 0 {
+		r.taken = append(recent(r.taken, now-r.legs.Span), now)
+	}
+}
+
+func (r *ration) spend(now time.Duration) {
+	if r.legs.Span > 0 {
+		r.spent = append(r.spent, now)
+	}
+}
+
+func recent(times []time.Duration, after time.Duration) []time.Duration {
+	return slices.DeleteFunc(times, func(at time.Duration) bool { return at <= after })
+}
+
+// seated counts the sessions that hold a seat of this one's title and tariff.
+func (d *Director) seated(s *session) int {
+	count := 0
+	for i := range d.sessions {
+		o := &d.sessions[i]
+		if o.used && o.phase != held && o.Title == s.Title && o.Tariff == s.Tariff {
+			count++
+		}
+	}
+	return count
+}
+
+// shares tells whether a live title's stream already runs where the session is.
+func (d *Director) shares(s *session) bool {
+	for i := range d.sessions {
+		o := &d.sessions[i]
+		if o != s && o.used && o.node == s.node && o.Title == s.Title && o.Tariff == s.Tariff &&
+			o.rung == s.rung {
+			return true
+		}
+	}
+	return false
+}
+
+// health is a node's standing: 0 trickle is a node in good health, else it is set aside until a
+// time and then gets so many legs at once, twice as many after each that goes well.
+type health struct {
+	trickle int
+	until   time.Duration
+}
+
+type warmth struct {
+	ramp   Ramp
+	peers  Peers
+	handed bool // sessions were handed over at the start, so the first list came in order with them
+}
+
+type gauge struct {
+	fleet     Fleet
+	late      time.Duration
+	directors float64
+	middle    float64 // the middle rung's rate
+	racks     []rack
+}
+
+func (w *warmth) sent(n *node, now time.Duration) { n.sends = append(n.sends, now) }
+
+func (w *warmth) doubt(n *node, now time.Duration) { n.doubted = now }
