--- a/policy/policy.go
+++ b/policy/policy.go
@@ -55,7 +55,7 @@
 	return &Director{
 		chance: newPCG(seed),
 		rungs:  rungs{ladder, tariffs},
-		gauge: gauge{fleet: fleet, late: tidings.Late, directors: float64(max(1, peers.Directors)),
+		gauge: gauge{fleet: fleet, late: tidings.Late, every: tidings.Every, directors: float64(max(1, peers.Directors)),
 			middle: ladder.Rates[len(ladder.Rates)/2], racks: make([]rack, max(1, fleet.Racks))},
 		zone:    peers.Zone,
 		warmth:  warmth{ramp: ramp, peers: peers},
@@ -412,7 +412,7 @@
 		return // nothing heard of the node yet: no ground for a change
 	}
 	fitting := d.fitting(s, n)
-	if n.short {
+	if d.now-n.shortAt < rescoreEvery { // the note that ends it is lost with the session it was on
 		fitting = min(fitting, s.rung)
 	}
 	rung := payoff(d.rungs.tariffs[s.Tariff].Floor, fitting, d.rungs.reference(s, n.fair), s.mean)
@@ -457,7 +457,11 @@
 		d.carry(s, int(e.Value), false)
 		s.mean = float64(s.rung)
 	case ShareNote:
-		n.short = e.Value < shortUnder
+		if e.Value < shortUnder {
+			n.shortAt = d.now
+		} else {
+			n.shortAt = -rescoreEvery
+		}
 		floor := d.rungs.tariffs[s.Tariff].Floor
 		if e.Value < dropUnder && s.phase == playing && s.rung > floor {
 			d.change(s, floor)
@@ -474,7 +478,7 @@
 			up := &d.gauge.racks[n.rack].use
 			*up = meter{e.Value, true, cut(up.changes, d.now-late)}
 		}
-		d.gauge.fairRates(n.rack, d.nodes)
+		d.gauge.fairRates(n.rack, d.nodes, d.now)
 	}
 }
 
@@ -533,16 +537,20 @@
 }
 
 // streams counts a node's streams: from its report, else from its link use.
-func (g *gauge) streams(n *node) float64 {
-	if n.reported >= 0 {
-		return max(0, n.reported+float64(n.legs-n.legsThen))
+func (g *gauge) streams(n *node, now time.Duration) float64 {
+	if n.reported < 0 {
+		return g.link(n) * n.size / g.middle
+	}
+	count := max(0, n.reported+float64(n.legs-n.legsThen))
+	if false && n.linkThen > 0 {
+		count = max(float64(n.legs), n.reported*g.link(n)/n.linkThen)
 	}
-	return g.link(n) * n.size / g.middle
+	return count
 }
 
 func (g *gauge) report(n *node, load Load, now time.Duration) {
 	if load.Streams >= 0 {
-		n.reported, n.legsThen = load.Streams, n.legs
+		n.reported, n.legsThen, n.linkThen, n.reportAt = load.Streams, n.legs, g.link(n), now
 	}
 	if load.Link >= 0 && !n.use.known {
 		n.use = meter{load.Link, true, cut(n.use.changes, now-g.late)}
@@ -550,7 +558,7 @@
 }
 
 // fairRates computes the fair rate of every node of a rack.
-func (g *gauge) fairRates(r int, nodes []node) {
+func (g *gauge) fairRates(r int, nodes []node, now time.Duration) {
 	var links, streams []float64
 	var members []int
 	total := 0.0
@@ -558,7 +566,7 @@
 		if n := &nodes[i]; n.name != "" && n.rack == r {
 			members = append(members, i)
 			links = append(links, n.size)
-			streams = append(streams, g.streams(n))
+			streams = append(streams, g.streams(n, now))
 			total += streams[len(streams)-1]
 		}
 	}
@@ -630,7 +638,7 @@
 			if i, grown = d.names.enter(x.Node); grown {
 				d.nodes = append(d.nodes, node{})
 			}
-			d.nodes[i] = node{name: x.Node, born: LongAgo, reported: -1, doubted: -1}
+			d.nodes[i] = node{name: x.Node, born: LongAgo, reported: -1, doubted: -1, shortAt: -rescoreEvery}
 		}
 		n := &d.nodes[i]
 		if x.Born > n.born && n.born != LongAgo {
@@ -647,7 +655,7 @@
 		}
 	}
 	for r := range d.gauge.racks {
-		d.gauge.fairRates(r, d.nodes)
+		d.gauge.fairRates(r, d.nodes, d.now)
 	}
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -86,8 +86,10 @@
 	use      meter
 	reported float64 // streams last reported; under 0: never
 	legsThen int
+	linkThen float64
+	reportAt time.Duration
 	fair     float64
-	short    bool // the last share note told of short delivery
+	shortAt  time.Duration // when a share note last told of short delivery
 	health   health
 	sends    []time.Duration // emptied as they grow older than the tipping time
 	doubted  time.Duration   // when its failure was last witnessed; under 0: not
@@ -156,6 +158,7 @@
 type gauge struct {
 	fleet     Fleet
 	late      time.Duration
+	every     time.Duration
 	directors float64
 	middle    float64 // the middle rung's rate
 	racks     []rack
