Room goes first to rungs up to the reference; streams are counted by own sessions' mean rate

Cause: sessions stuck on the lowest rung beside others high above the reference, and where no stream count is reported the reference held the middle rung's rate whatever was played.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -19,7 +19,8 @@
 	switchEvery    = 10 * time.Second
 	meanSpan       = 70 * time.Second
 	fullAt         = 0.95 // of a link or uplink: a node with more asked is chosen last
-	raiseTo        = 0.8  // a rung is newly taken up to here
+	raiseTo        = 0.85 // a rung up to the reference rung is newly taken up to here,
+	spareTo        = 0.75 // a higher one up to here
 	keepTo         = 1.0  // and a rung in force is kept up to here
 	dropUnder      = 0.75 // share delivered
 	shortUnder     = 0.98 // share delivered
@@ -374,8 +375,9 @@
 
 // fitting is the highest rung that the director's count of link and uplink use has room for. What
 // is newly taken leaves more room than what is kept: it guards against a figure that is noisy and
-// seconds old, of which everybody takes the same room, and against stepping to and fro.
-func (d *Director) fitting(s *session, n *node) int {
+// seconds old, of which everybody takes the same room, and against stepping to and fro. Rungs over
+// the reference leave most, so that sessions under it come first.
+func (d *Director) fitting(s *session, n *node, reference float64) int {
 	floor := d.rungs.tariffs[s.Tariff].Floor
 	onLink, onUplink := 1.0, 1.0
 	if s.phase == playing {
@@ -385,7 +387,11 @@
 		more := d.rungs.rate(s, q) - s.carried
 		link, uplink := d.gauge.counts(n, d.nodes, more*onLink, more*onUplink)
 		use := max(link, uplink)
-		if use <= raiseTo || s.phase == playing && q <= s.rung && use <= keepTo {
+		bar := raiseTo
+		if float64(q) > reference {
+			bar = spareTo
+		}
+		if use <= bar || s.phase == playing && q <= s.rung && use <= keepTo {
 			return q
 		}
 	}
@@ -394,7 +400,7 @@
 
 func (d *Director) setupRung(s *session, n *node) int {
 	reference := d.rungs.reference(s, n.fair)
-	return payoff(d.rungs.tariffs[s.Tariff].Floor, d.fitting(s, n), reference, reference)
+	return payoff(d.rungs.tariffs[s.Tariff].Floor, d.fitting(s, n, reference), reference, reference)
 }
 
 func (d *Director) rescore(s *session) {
@@ -411,11 +417,12 @@
 	if !n.use.known {
 		return // nothing heard of the node yet: no ground for a change
 	}
-	fitting := d.fitting(s, n)
+	reference := d.rungs.reference(s, n.fair)
+	fitting := d.fitting(s, n, reference)
 	if d.now-n.shortAt < rescoreEvery { // the note that ends it is lost with the session it was on
 		fitting = min(fitting, s.rung)
 	}
-	rung := payoff(d.rungs.tariffs[s.Tariff].Floor, fitting, d.rungs.reference(s, n.fair), s.mean)
+	rung := payoff(d.rungs.tariffs[s.Tariff].Floor, fitting, reference, s.mean)
 	if rung != s.rung {
 		d.change(s, rung)
 	}
@@ -539,7 +546,7 @@
 // streams counts a node's streams: from its report, else from its link use.
 func (g *gauge) streams(n *node, now time.Duration) float64 {
 	if n.reported < 0 {
-		return g.link(n) * n.size / g.middle
+		return g.link(n) * n.size / g.usual
 	}
 	count := max(0, n.reported+float64(n.legs-n.legsThen))
 	if false && n.linkThen > 0 {
@@ -561,6 +568,12 @@
 func (g *gauge) fairRates(r int, nodes []node, now time.Duration) {
 	var links, streams []float64
 	var members []int
+	own, legs := g.middle, 1.0 // a stream's usual rate: this director's own sessions, or the middle rung's
+	for i := range nodes {
+		own += nodes[i].own
+		legs += float64(nodes[i].legs)
+	}
+	g.usual = own / legs
 	total := 0.0
 	for i := range nodes {
 		if n := &nodes[i]; n.name != "" && n.rack == r {
--- a/policy/state.go
+++ b/policy/state.go
@@ -161,6 +161,7 @@
 	every     time.Duration
 	directors float64
 	middle    float64 // the middle rung's rate
+	usual     float64 // a stream's usual rate
 	racks     []rack
 }
 
