--- a/policy/policy.go
+++ b/policy/policy.go
@@ -24,6 +24,7 @@
 	keepTo         = 1.0  // and a rung in force is kept up to here
 	dropUnder      = 0.75 // share delivered
 	shortUnder     = 0.98 // share delivered
+	hearing        = 0.8  // part of a figure's surprise that is believed: figures are noisy
 )
 
 // pulse is how often the director looks around unasked.
@@ -479,11 +480,10 @@
 			late = 0
 		}
 		if e.Kind == LinkNote {
-			n.use = meter{e.Value, true, cut(n.use.changes, d.now-late)}
+			n.use.hear(e.Value, n.size, hearing, d.now-late)
 			d.warmth.lived(n, s.started)
 		} else {
-			up := &d.gauge.racks[n.rack].use
-			*up = meter{e.Value, true, cut(up.changes, d.now-late)}
+			d.gauge.racks[n.rack].use.hear(e.Value, d.gauge.fleet.Uplink, hearing, d.now-late)
 		}
 		d.gauge.fairRates(n.rack, d.nodes, d.now)
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -52,6 +52,22 @@
 	kB float64
 }
 
+// hear takes a figure that covers what was changed until a time; so much of what the count did not
+// expect is believed.
+func (m *meter) hear(figure, size, weight float64, until time.Duration) {
+	if m.known {
+		expected := m.heard
+		for _, c := range m.changes {
+			if c.at <= until {
+				expected += c.kB / size
+			}
+		}
+		figure = expected + (figure-expected)*weight
+	}
+	m.heard, m.known = figure, true
+	m.changes = cut(m.changes, until)
+}
+
 func cut(changes []change, until time.Duration) []change {
 	return slices.DeleteFunc(changes, func(c change) bool { return c.at <= until })
 }
