Uplinks without figures are learned from short delivery of most of a rack

It should also catch a sag of an uplink; it can harm where most links of a rack run short by themselves, so it moves by a tenth a note and grows back.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -54,7 +54,7 @@
 // New starts a director.
 func New(seed uint64, peers Peers, tariffs []Tariff, ladder Ladder, fleet Fleet, ramp Ramp,
 	legs Legs, tidings Tidings) *Director {
-	return &Director{
+	d := &Director{
 		chance: newPCG(seed),
 		rungs:  rungs{ladder, tariffs},
 		gauge: gauge{fleet: fleet, late: tidings.Late, every: tidings.Every, directors: float64(max(1, peers.Directors)),
@@ -67,6 +67,10 @@
 		ids:     newDoor[uint64](),
 		names:   newDoor[string](),
 	}
+	for r := range d.gauge.racks {
+		d.gauge.racks[r].size = fleet.Uplink
+	}
+	return d
 }
 
 // Step takes what happened at a time and returns what is to be done.
@@ -131,15 +135,6 @@
 	}
 }
 
-// settle lets an ended session go once no leg of it is out.
-func (d *Director) settle(i int) {
-	s := &d.sessions[i]
-	if s.phase == held {
-		d.ids.leave(s.ID)
-		*s = session{}
-	}
-}
-
 // giveUp answers a session that can't be set up: a nack where nothing paid may have run.
 func (d *Director) giveUp(i int) {
 	s := &d.sessions[i]
@@ -382,7 +377,7 @@
 	floor := d.rungs.tariffs[s.Tariff].Floor
 	onLink, onUplink := 1.0, 1.0
 	if s.phase == playing {
-		onLink, onUplink = d.gauge.echoes(n)
+		onLink, onUplink = d.gauge.echoes(n, d.nodes)
 	}
 	for q := d.rungs.top(s); q > floor; q-- {
 		more := d.rungs.rate(s, q) - s.carried
@@ -445,7 +440,7 @@
 			rate *= d.rungs.ladder.JoinAdds
 		}
 	}
-	d.gauge.book(&d.nodes[s.node], rate-s.carried, d.now, echo)
+	d.gauge.book(&d.nodes[s.node], d.nodes, rate-s.carried, d.now, echo)
 	s.carried = rate
 }
 
@@ -470,6 +465,7 @@
 		} else {
 			n.shortAt = -rescoreEvery
 		}
+		d.gauge.learn(n, d.nodes, e.Value, d.now)
 		floor := d.rungs.tariffs[s.Tariff].Floor
 		if e.Value < dropUnder && s.phase == playing && s.rung > floor {
 			d.change(s, floor)
@@ -480,6 +476,7 @@
 			late = 0
 		}
 		if e.Kind == LinkNote {
+			d.gauge.learn(n, d.nodes, 1, d.now)
 			n.use.hear(e.Value, n.size, hearing, d.now-late)
 			d.warmth.lived(n, s.started)
 		} else {
@@ -491,10 +488,10 @@
 
 // Gauge: what is asked of links and uplinks, by this director's own count.
 
-func (g *gauge) book(n *node, kB float64, now time.Duration, echo bool) {
+func (g *gauge) book(n *node, nodes []node, kB float64, now time.Duration, echo bool) {
 	link, uplink := 1.0, 1.0
 	if echo {
-		link, uplink = g.echoes(n)
+		link, uplink = g.echoes(n, nodes)
 	}
 	n.own += kB
 	g.racks[n.rack].own += kB
@@ -504,16 +501,17 @@
 
 // echoes tells how many times over a change of a session that plays counts: the other directors
 // hear the same figure and act on it alike, each on its part of what is asked.
-func (g *gauge) echoes(n *node) (link, uplink float64) {
+func (g *gauge) echoes(n *node, nodes []node) (link, uplink float64) {
 	r := &g.racks[n.rack]
-	return echo(n.use, n.size, n.own, g.directors), echo(r.use, g.fleet.Uplink, r.own, g.directors)
+	return echo(n.use.known, n.use.heard*n.size, n.own, g.directors),
+		echo(n.use.known, g.uplink(n.rack, nodes)*r.size, r.own, g.directors)
 }
 
-func echo(m meter, size, own, most float64) float64 {
-	if !m.known || own <= 0 {
+func echo(known bool, asked, own, most float64) float64 {
+	if !known || own <= 0 {
 		return 1
 	}
-	return min(max(1, m.heard*size/own), 2*most)
+	return min(max(1, asked/own), 2*most)
 }
 
 // link is the part of a node's link that is asked; before any figure has come, the director takes
@@ -529,18 +527,33 @@
 	if up := &g.racks[r].use; up.known {
 		return max(0, up.heard+up.since()/g.fleet.Uplink)
 	}
-	kB := 0.0
-	for i := range nodes {
-		if n := &nodes[i]; n.name != "" && n.rack == r {
-			kB += g.link(n) * n.size
-		}
+	return g.asked(r, nodes) / g.racks[r].size
+}
+
+// learn takes an uplink's size from short delivery on most of a rack that the links do not explain,
+// where no uplink figure is told. It guards against a poor or sagging uplink; it harms where many
+// links of a rack run short at once, so it moves by a tenth a note and grows back once all is well.
+func (g *gauge) learn(n *node, nodes []node, share float64, now time.Duration) {
+	r := &g.racks[n.rack]
+	short, all := shortIn(n.rack, nodes, now-rescoreEvery)
+	switch {
+	case r.use.known:
+	case share < shortUnder && g.link(n) < keepTo && short > 2 && short*4 >= all*3:
+		r.size, r.shortAt = min(r.size, max(g.asked(n.rack, nodes)*share, r.size*shrinkage)), now
+	case r.size < g.fleet.Uplink && now-r.shortAt > rescoreEvery:
+		r.size *= regrowth
 	}
-	return kB / g.fleet.Uplink
 }
 
+// shrinkage and regrowth bound how far one note moves a learned uplink.
+const (
+	shrinkage = 0.9
+	regrowth  = 1.05
+)
+
 // counts tells what would be asked of a node's link and uplink with so much more.
 func (g *gauge) counts(n *node, nodes []node, onLink, onUplink float64) (link, uplink float64) {
-	return g.link(n) + onLink/n.size, g.uplink(n.rack, nodes) + onUplink/g.fleet.Uplink
+	return g.link(n) + onLink/n.size, g.uplink(n.rack, nodes) + onUplink/g.racks[n.rack].size
 }
 
 // streams counts a node's streams: from its report, else from its link use.
@@ -583,7 +596,7 @@
 			total += streams[len(streams)-1]
 		}
 	}
-	rates := fair(g.fleet.Uplink/max(1, total), links, streams)
+	rates := fair(g.racks[r].size/max(1, total), links, streams)
 	for k, i := range members {
 		nodes[i].fair = rates[k]
 	}
@@ -672,14 +685,6 @@
 	}
 }
 
-// dropNode forgets a node that is off the list once none of its sessions is left.
-func (d *Director) dropNode(i int) {
-	if n := &d.nodes[i]; n.listed == Removed && n.legs == 0 {
-		d.names.leave(n.name)
-		*n = node{}
-	}
-}
-
 func (d *Director) ask() {
 	d.asked = d.now
 	d.do(Listen{})
--- a/policy/state.go
+++ b/policy/state.go
@@ -35,8 +35,10 @@
 }
 
 type rack struct {
-	use meter
-	own float64 // kB a second booked by this director
+	size    float64 // uplink, kB a second: as told, or as learned
+	shortAt time.Duration
+	use     meter
+	own     float64 // kB a second booked by this director
 }
 
 // A meter is a figure heard and what this director has changed since, kB a second. Changes are
@@ -146,6 +148,29 @@
 	return count
 }
 
+// shortIn counts a rack's nodes with own sessions, and those that delivered short since a time.
+func shortIn(r int, nodes []node, since time.Duration) (short, all int) {
+	for i := range nodes {
+		if n := &nodes[i]; n.name != "" && n.rack == r && n.legs > 0 {
+			all++
+			if n.shortAt > since {
+				short++
+			}
+		}
+	}
+	return short, all
+}
+
+// asked is what is asked of a rack's links together, kB a second.
+func (g *gauge) asked(r int, nodes []node) (kB float64) {
+	for i := range nodes {
+		if n := &nodes[i]; n.name != "" && n.rack == r {
+			kB += g.link(n) * n.size
+		}
+	}
+	return kB
+}
+
 // shares tells whether a live title's stream already runs where the session is.
 func (d *Director) shares(s *session) bool {
 	for i := range d.sessions {
@@ -184,3 +209,20 @@
 func (w *warmth) sent(n *node, now time.Duration) { n.sends = append(n.sends, now) }
 
 func (w *warmth) doubt(n *node, now time.Duration) { n.doubted = now }
+
+// settle lets an ended session go once no leg of it is out.
+func (d *Director) settle(i int) {
+	s := &d.sessions[i]
+	if s.phase == held {
+		d.ids.leave(s.ID)
+		*s = session{}
+	}
+}
+
+// dropNode forgets a node that is off the list once none of its sessions is left.
+func (d *Director) dropNode(i int) {
+	if n := &d.nodes[i]; n.listed == Removed && n.legs == 0 {
+		d.names.leave(n.name)
+		*n = node{}
+	}
+}
