Bounds on link use lean by credit: what is short is taken first from tariffs that earn least

Cause: steps down fell on all tariffs alike, while a session of the highest credit earns several times as much for the same rate.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -21,7 +21,8 @@
 	fullAt         = 0.95 // of a link or uplink: a node with more asked is chosen last
 	raiseTo        = 0.85 // a rung up to the reference rung is newly taken up to here,
 	spareTo        = 0.75 // a higher one up to here
-	keepTo         = 1.0  // and a rung in force is kept up to here
+	keepTo         = 1.0  // and a rung in force is kept up to here;
+	creditLean     = 0.1  // the tariffs of most and least credit lie this far apart in all three
 	dropUnder      = 0.75 // share delivered
 	shortUnder     = 0.98 // share delivered
 	hearing        = 0.8  // part of a figure's surprise that is believed: figures are noisy
@@ -355,6 +356,19 @@
 	return float64(last)
 }
 
+// lean is how much further up a link a tariff may go than the middle of all, by its credit: what is
+// short is taken from those first that earn least.
+func (r *rungs) lean(tariff int) float64 {
+	least, most := math.Inf(1), math.Inf(-1)
+	for _, t := range r.tariffs {
+		least, most = min(least, t.Credit), max(most, t.Credit)
+	}
+	if least == most {
+		return 0
+	}
+	return creditLean * ((r.tariffs[tariff].Credit-least)/(most-least) - 0.5)
+}
+
 // payoff picks the rung with the best payoff up to the fitting one; ties go to the higher rung.
 func payoff(floor, fitting int, reference, mean float64) int {
 	best, most := floor, math.Inf(-1)
@@ -375,6 +389,7 @@
 // the reference leave most, so that sessions under it come first.
 func (d *Director) fitting(s *session, n *node, reference float64) int {
 	floor := d.rungs.tariffs[s.Tariff].Floor
+	lean := d.rungs.lean(s.Tariff)
 	onLink, onUplink := 1.0, 1.0
 	if s.phase == playing {
 		onLink, onUplink = d.gauge.echoes(n, d.nodes)
@@ -387,7 +402,7 @@
 		if float64(q) > reference {
 			bar = spareTo
 		}
-		if use <= bar || s.phase == playing && q <= s.rung && use <= keepTo {
+		if use <= bar+lean || s.phase == playing && q <= s.rung && use <= keepTo+lean {
 			return q
 		}
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -107,6 +107,17 @@
 	}
 }
 
+// What was short was taken from all tariffs alike, whatever they earned.
+func TestCreditLeans(t *testing.T) {
+	r := rungs{tariffs: []Tariff{{Credit: 1}, {Credit: 3}, {Credit: 1}}}
+	if low, high := r.lean(0), r.lean(1); low >= 0 || high <= 0 || low != r.lean(2) || low != -high {
+		t.Fatalf("credit 1 leans %v, credit 3 %v", low, high)
+	}
+	if r.tariffs = r.tariffs[:1]; r.lean(0) != 0 {
+		t.Fatal("one tariff alone leans")
+	}
+}
+
 // A session that nothing was heard for was stepped down on a guess.
 func TestNoStepWithoutAFigure(t *testing.T) {
 	d, _ := still(false, 3)
