--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -246,9 +246,6 @@
 		w.begin("listen", instance)
 		w.key("enable")
 		w.buf = append(w.buf, "true"...)
-	case policy.Transfer:
-		w.begin("transfer", instance)
-		w.txn(a.ID)
 	case policy.Log:
 		w.begin("log", instance)
 		w.key("words")
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -58,7 +58,7 @@
 	d := &Director{
 		chance: newPCG(seed),
 		rungs:  rungs{ladder, tariffs},
-		gauge: gauge{fleet: fleet, late: tidings.Late, every: tidings.Every, directors: float64(max(1, peers.Directors)),
+		gauge: gauge{fleet: fleet, late: tidings.Late, directors: float64(max(1, peers.Directors)),
 			middle: ladder.Rates[len(ladder.Rates)/2], racks: make([]rack, max(1, fleet.Racks))},
 		zone:    peers.Zone,
 		warmth:  warmth{ramp: ramp, peers: peers},
@@ -497,7 +497,7 @@
 		} else {
 			d.gauge.racks[n.rack].use.hear(e.Value, d.gauge.fleet.Uplink, hearing, d.now-late)
 		}
-		d.gauge.fairRates(n.rack, d.nodes, d.now)
+		d.gauge.fairRates(n.rack, d.nodes)
 	}
 }
 
@@ -572,20 +572,16 @@
 }
 
 // streams counts a node's streams: from its report, else from its link use.
-func (g *gauge) streams(n *node, now time.Duration) float64 {
+func (g *gauge) streams(n *node) float64 {
 	if n.reported < 0 {
 		return g.link(n) * n.size / g.usual
 	}
-	count := max(0, n.reported+float64(n.legs-n.legsThen))
-	if false && n.linkThen > 0 {
-		count = max(float64(n.legs), n.reported*g.link(n)/n.linkThen)
-	}
-	return count
+	return max(0, n.reported+float64(n.legs-n.legsThen))
 }
 
 func (g *gauge) report(n *node, load Load, now time.Duration) {
 	if load.Streams >= 0 {
-		n.reported, n.legsThen, n.linkThen, n.reportAt = load.Streams, n.legs, g.link(n), now
+		n.reported, n.legsThen = load.Streams, n.legs
 	}
 	if load.Link >= 0 && !n.use.known {
 		n.use = meter{load.Link, true, cut(n.use.changes, now-g.late)}
@@ -593,7 +589,7 @@
 }
 
 // fairRates computes the fair rate of every node of a rack.
-func (g *gauge) fairRates(r int, nodes []node, now time.Duration) {
+func (g *gauge) fairRates(r int, nodes []node) {
 	var links, streams []float64
 	var members []int
 	own, legs := g.middle, 1.0 // a stream's usual rate: this director's own sessions, or the middle rung's
@@ -607,7 +603,7 @@
 		if n := &nodes[i]; n.name != "" && n.rack == r {
 			members = append(members, i)
 			links = append(links, n.size)
-			streams = append(streams, g.streams(n, now))
+			streams = append(streams, g.streams(n))
 			total += streams[len(streams)-1]
 		}
 	}
@@ -696,7 +692,7 @@
 		}
 	}
 	for r := range d.gauge.racks {
-		d.gauge.fairRates(r, d.nodes, d.now)
+		d.gauge.fairRates(r, d.nodes)
 	}
 }
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -68,7 +68,7 @@
 		Credit: 1, Paid: paid, Scale: 1, Top: 2}}, Ladder{Rates: []float64{50, 100, 200}, JoinAdds: 1},
 		Fleet{Cells: 3, Racks: 1, LinkUnit: 1000, Uplink: 2000},
 		Ramp{Places: []float64{20}, Warmup: 10 * time.Second, ColdFrom: .5, Multiple: 4, TipAfter: time.Second},
-		Legs{Most: 4}, Tidings{Late: time.Second, Every: 3 * time.Second})
+		Legs{Most: 4}, Tidings{Late: time.Second})
 	var list []Entry
 	for i, name := range []string{"a", "b", "c"} {
 		list = append(list, Entry{Node: name, Born: LongAgo, Weight: 1, Cell: i})
--- a/policy/state.go
+++ b/policy/state.go
@@ -104,8 +104,6 @@
 	use      meter
 	reported float64 // streams last reported; under 0: never
 	legsThen int
-	linkThen float64
-	reportAt time.Duration
 	fair     float64
 	shortAt  time.Duration // when a share note last told of short delivery
 	health   health
@@ -199,7 +197,6 @@
 type gauge struct {
 	fleet     Fleet
 	late      time.Duration
-	every     time.Duration
 	directors float64
 	middle    float64 // the middle rung's rate
 	usual     float64 // a stream's usual rate
--- a/policy/types.go
+++ b/policy/types.go
@@ -158,9 +158,6 @@
 // Listen asks for the list's changes, where they are not pushed.
 type Listen struct{}
 
-// Transfer ends a session that plays; it comes back as a Demand.
-type Transfer struct{ ID uint64 }
-
 // Log is a line for those on call.
 type Log struct{ Words string }
 
@@ -170,7 +167,6 @@
 func (Fail) action()     {}
 func (Schedule) action() {}
 func (Listen) action()   {}
-func (Transfer) action() {}
 func (Log) action()      {}
 
 // Peers places this director among its kind.
@@ -228,5 +224,5 @@
 	Span  time.Duration
 }
 
-// Tidings is how late and how often nodes tell of their sessions, and the longest backoff heeded.
-type Tidings struct{ Late, Every, Backoff time.Duration }
+// Tidings is how late nodes tell of their sessions, and the longest backoff that viewers heed.
+type Tidings struct{ Late, Backoff time.Duration }
--- a/policy/world_test.go
+++ b/policy/world_test.go
@@ -98,7 +98,7 @@
 	ladder := Ladder{Rates: []float64{200, 350, 700, 1400, 2000}[:w.rungs], JoinAdds: .3}
 	p := &post{born: w.now, open: map[uint64]*owed{}, Director: New(uint64(i),
 		Peers{Me: i, Directors: len(w.directors)}, w.tariffs, ladder, w.fleet, w.ramp, w.legs,
-		Tidings{Late: time.Second, Every: 3 * time.Second})}
+		Tidings{Late: time.Second})}
 	w.directors[i] = p
 	w.step(p, Roster{Kind: Restored, Entries: w.entries(w.now)})
 }
