Trust given while most nodes are suspect ends when they recover, not at the next failure

Found on reading the module: the share of suspect nodes was only weighed at a failure, so after a general trouble a single sick node kept its traffic until something else failed. Weighed at each recovery too; a test fails without it. The order of caps in the fair rate uses the library's comparison.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -5,6 +5,7 @@
 package policy
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -161,6 +162,7 @@
 	d.warmth.answered(n, d.now)
 	if n.health.wentWell() {
 		d.log("node %s is trusted again", n.name)
+		d.judge()
 	}
 }
 
@@ -628,15 +630,7 @@
 			entitled += streams[i]
 		}
 	}
-	slices.SortStableFunc(order, func(a, b int) int {
-		switch {
-		case rates[a] < rates[b]:
-			return -1
-		case rates[a] > rates[b]:
-			return 1
-		}
-		return 0
-	})
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(rates[a], rates[b]) })
 	for _, i := range order {
 		if cap := rates[i]; cap > parent {
 			if entitled > 0 {
@@ -744,11 +738,16 @@
 	}
 	goal := d.rungs.tariffs[s.Tariff].GoalTime
 	n.health = health{trickle: 1, until: d.now + pauseLegs*legTime(goal)}
+	d.judge()
+}
+
+// judge tells trouble of nodes from trouble elsewhere: once most are suspect, nobody is set aside.
+func (d *Director) judge() {
 	suspects, all := 0, 0
 	for i := range d.nodes {
-		if o := &d.nodes[i]; o.name != "" && o.listed == Up {
+		if n := &d.nodes[i]; n.name != "" && n.listed == Up {
 			all++
-			if o.health.trickle > 0 {
+			if n.health.trickle > 0 {
 				suspects++
 			}
 		}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -183,6 +183,21 @@
 	}
 }
 
+// Trust given because most nodes were suspect outlived their recovery until the next failure.
+func TestTrustEndsWhenNodesRecover(t *testing.T) {
+	d, _ := still(false, 1)
+	d.nodes[0].health.trickle, d.nodes[1].health.trickle = trusted/2, 1
+	d.judge()
+	if !d.trusting {
+		t.Fatal("two of three suspect, and still set aside")
+	}
+	at := slices.IndexFunc([]string{"a", "b", "c"}, func(name string) bool { return name == d.nodes[0].name })
+	out, _ := find[Dispatch](d.Step(0, Demand{ID: 1, Base: at, Copies: 1, HardStop: time.Hour}))
+	if d.Step(time.Millisecond, Accepted{ID: 1}); out.Node != d.nodes[0].name || d.trusting {
+		t.Fatalf("sent to %q, still trusting %v", out.Node, d.trusting)
+	}
+}
+
 func TestRulesHold(t *testing.T) { rapid.Check(t, func(t *rapid.T) { newWorld(t).run() }) }
 
 func TestDoorGivesIndicesBack(t *testing.T) {
