Unheard nodes count as usual, stale figures fade, those who heard the same step by lot

One session read as a flooded link and none as an empty one; a figure once heard was kept for ever; a step counted a hundredfold, so that all dropped and nobody climbed. Now a guess from what is usual stands in for what is unheard, weighed against own use, and for what has grown older than the next figure was due; and of those that heard the same figure each goes by its own lot, so that only the part that is needed steps.

--- a/internal/simwire/conf.go
+++ b/internal/simwire/conf.go
@@ -35,6 +35,7 @@
 		Worth       []float64 `json:"level_worth"`
 		ChangeCost  float64   `json:"change_costs_s"`
 		Late        float64   `json:"told_late_s"`
+		Every       float64   `json:"told_every_s"`
 		Uplink      float64   `json:"rack_link_kb"`
 		LinkUnit    float64   `json:"link_unit_kb"`
 	} `json:"family_info"`
@@ -125,7 +126,7 @@
 			Most: c.Permissions.MaxAttempts, Spare: c.Rules.Spare, Share: c.Rules.Extra,
 			Span: Span(c.Rules.Span),
 		},
-		policy.Tidings{Late: Span(f.Late), Backoff: backoff})
+		policy.Tidings{Late: Span(f.Late), Every: Span(f.Every), Backoff: backoff})
 }
 
 // Load reads a report by the order of its fields.
--- a/policy/pcg.go
+++ b/policy/pcg.go
@@ -20,6 +20,9 @@
 // below draws from 0 to n-1.
 func (p *pcg) below(n int) int { return int(uint64(p.next()) * uint64(n) >> 32) }
 
+// share draws from 0 up to 1.
+func (p *pcg) share() float64 { return float64(p.next()) / (1 << 32) }
+
 // owner picks one of so many by a name.
 func owner(name string, directors int) int {
 	sum := uint32(2166136261) // FNV-1a
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -59,8 +59,9 @@
 	d := &Director{
 		chance: newPCG(seed),
 		rungs:  rungs{ladder, tariffs},
-		gauge: gauge{fleet: fleet, late: tidings.Late, directors: float64(max(1, peers.Directors)),
-			middle: ladder.Rates[len(ladder.Rates)/2], racks: make([]rack, max(1, fleet.Racks))},
+		gauge: gauge{fleet: fleet, late: tidings.Late, fresh: tidings.Every + 2*tidings.Late,
+			directors: float64(max(1, peers.Directors)), middle: ladder.Rates[len(ladder.Rates)/2],
+			racks: make([]rack, max(1, fleet.Racks)), links: unheard, uplinks: unheard},
 		zone:    peers.Zone,
 		warmth:  warmth{ramp: ramp, peers: peers},
 		ration:  ration{legs: legs},
@@ -77,7 +78,7 @@
 
 // Step takes what happened at a time and returns what is to be done.
 func (d *Director) Step(now time.Duration, happened Event) []Action {
-	d.now, d.out = now, d.out[:0]
+	d.now, d.gauge.now, d.out = now, now, d.out[:0]
 	if !d.begun {
 		d.begun = true
 		d.do(Schedule{now + pulse})
@@ -133,7 +134,7 @@
 		s.node = n
 		d.warmth.handed = true
 		d.nodes[n].legs++
-		d.carry(s, s.rung, false)
+		d.carry(s, s.rung)
 	}
 }
 
@@ -175,12 +176,12 @@
 	was := s.phase
 	if s.node >= 0 {
 		n := &d.nodes[s.node]
-		d.carry(s, -1, false)
+		d.carry(s, -1)
 		n.legs--
 		if was == setting {
 			n.outs--
 		}
-		d.gauge.report(n, e.Load, d.now)
+		d.gauge.report(n, e.Load)
 		if e.Outcome != Served && e.Outcome != Cancelled && e.Outcome != Moot {
 			d.symptom(n, s, e.Outcome)
 		}
@@ -275,7 +276,7 @@
 	n.legs++
 	n.outs++
 	d.warmth.sent(n, d.now)
-	d.carry(s, rung, false)
+	d.carry(s, rung)
 }
 
 // choose picks the lower link share of two random holders that may take the session: first among
@@ -388,29 +389,54 @@
 // fitting is the highest rung that the director's count of link and uplink use has room for. What
 // is newly taken leaves more room than what is kept: it guards against a figure that is noisy and
 // seconds old, of which everybody takes the same room, and against stepping to and fro. Rungs over
-// the reference leave most, so that sessions under it come first.
+// the reference leave most, so that sessions under it come first. On the way down all who heard the
+// same figure are counted on to do the same.
 func (d *Director) fitting(s *session, n *node, reference float64) int {
 	floor := d.rungs.tariffs[s.Tariff].Floor
 	lean := d.rungs.lean(s.Tariff)
-	onLink, onUplink := 1.0, 1.0
-	if s.phase == playing {
-		onLink, onUplink = d.gauge.echoes(n, d.nodes)
-	}
 	for q := d.rungs.top(s); q > floor; q-- {
 		more := d.rungs.rate(s, q) - s.carried
+		onLink, onUplink := 1.0, 1.0
+		if more < 0 {
+			onLink, onUplink = d.gauge.echoes(n, d.nodes)
+		}
 		link, uplink := d.gauge.counts(n, d.nodes, more*onLink, more*onUplink)
 		use := max(link, uplink)
-		bar := raiseTo
-		if float64(q) > reference {
-			bar = spareTo
-		}
-		if use <= bar+lean || s.phase == playing && q <= s.rung && use <= keepTo+lean {
+		if use <= bar(q, reference)+lean || s.phase == playing && q <= s.rung && use <= keepTo+lean {
 			return q
 		}
 	}
 	return floor
 }
 
+// bar is how far up link and uplink a rung may newly take.
+func bar(rung int, reference float64) float64 {
+	if float64(rung) > reference {
+		return spareTo
+	}
+	return raiseTo
+}
+
+// part is the part of those who heard the same figures that must step as this session would to
+// bring link and uplink to their bar. It guards against all of them stepping at once.
+func (d *Director) part(s *session, n *node, rung int, reference float64) float64 {
+	onLink, onUplink := d.gauge.echoes(n, d.nodes)
+	link, uplink := d.gauge.counts(n, d.nodes, 0, 0)
+	more, to := d.rungs.rate(s, rung)-s.carried, keepTo+d.rungs.lean(s.Tariff)
+	if more > 0 {
+		to += bar(rung, reference) - keepTo
+	}
+	byLink := (to - link) * n.size / (more * onLink)
+	byUplink := (to - uplink) * d.gauge.racks[n.rack].size / (more * onUplink)
+	switch {
+	case more > 0:
+		return min(byLink, byUplink)
+	case byLink <= 0 && byUplink <= 0:
+		return 1 // nothing is over full: the step is for fairness
+	}
+	return max(byLink, byUplink)
+}
+
 func (d *Director) setupRung(s *session, n *node) int {
 	reference := d.rungs.reference(s, n.fair)
 	return payoff(d.rungs.tariffs[s.Tariff].Floor, d.fitting(s, n, reference), reference, reference)
@@ -437,18 +463,26 @@
 	}
 	rung := payoff(d.rungs.tariffs[s.Tariff].Floor, fitting, reference, s.mean)
 	if rung != s.rung {
-		d.change(s, rung)
+		d.change(s, rung, d.part(s, n, rung, reference))
 	}
 }
 
-func (d *Director) change(s *session, rung int) {
-	d.do(Rate{s.ID, rung})
-	s.switched = d.now
-	d.carry(s, rung, true)
+// change steps a session by its own lot, as part of those that heard the same; the others are
+// counted on to go by theirs.
+func (d *Director) change(s *session, rung int, part float64) {
+	n, more := &d.nodes[s.node], d.rungs.rate(s, rung)-s.carried
+	onLink, onUplink := d.gauge.echoes(n, d.nodes)
+	part = min(1, max(part, 1/max(onLink, onUplink)))
+	d.gauge.count(n, part*(onLink-1)*more, part*(onUplink-1)*more)
+	if d.chance.share() < part {
+		d.do(Rate{s.ID, rung})
+		s.switched = d.now
+		d.carry(s, rung)
+	}
 }
 
 // carry books a session's rung at its node; a rung under 0 takes the session off it.
-func (d *Director) carry(s *session, rung int, echo bool) {
+func (d *Director) carry(s *session, rung int) {
 	rate := 0.0
 	if rung >= 0 {
 		s.rung = rung
@@ -457,7 +491,10 @@
 			rate *= d.rungs.ladder.JoinAdds
 		}
 	}
-	d.gauge.book(&d.nodes[s.node], d.nodes, rate-s.carried, d.now, echo)
+	n, more := &d.nodes[s.node], rate-s.carried
+	n.own += more
+	d.gauge.racks[n.rack].own += more
+	d.gauge.count(n, more, more)
 	s.carried = rate
 }
 
@@ -474,7 +511,7 @@
 	}
 	switch e.Kind {
 	case RungNote:
-		d.carry(s, int(e.Value), false)
+		d.carry(s, int(e.Value))
 		s.mean = float64(s.rung)
 	case ShareNote:
 		if e.Value < shortUnder {
@@ -482,10 +519,10 @@
 		} else {
 			n.shortAt = -rescoreEvery
 		}
-		d.gauge.learn(n, d.nodes, e.Value, d.now)
+		d.gauge.learn(n, d.nodes, e.Value)
 		floor := d.rungs.tariffs[s.Tariff].Floor
 		if e.Value < dropUnder && s.phase == playing && s.rung > floor {
-			d.change(s, floor)
+			d.change(s, floor, (1-e.Value)*n.own/(s.carried-d.rungs.rate(s, floor)))
 		}
 	case LinkNote, UplinkNote:
 		late := d.gauge.late
@@ -493,11 +530,11 @@
 			late = 0
 		}
 		if e.Kind == LinkNote {
-			d.gauge.learn(n, d.nodes, 1, d.now)
-			n.use.hear(e.Value, n.size, hearing, d.now-late)
+			d.gauge.learn(n, d.nodes, 1)
+			d.gauge.heard(n, e.Value, d.now-late)
 			d.warmth.lived(n, s.started)
 		} else {
-			d.gauge.racks[n.rack].use.hear(e.Value, d.gauge.fleet.Uplink, hearing, d.now-late)
+			d.gauge.heardUplink(n.rack, e.Value, d.now-late)
 		}
 		d.gauge.fairRates(n.rack, d.nodes)
 	}
@@ -505,15 +542,30 @@
 
 // Gauge: what is asked of links and uplinks, by this director's own count.
 
-func (g *gauge) book(n *node, nodes []node, kB float64, now time.Duration, echo bool) {
-	link, uplink := 1.0, 1.0
-	if echo {
-		link, uplink = g.echoes(n, nodes)
-	}
-	n.own += kB
-	g.racks[n.rack].own += kB
-	n.use.add(now, g.late, kB*link)
-	g.racks[n.rack].use.add(now, g.late, kB*uplink)
+// unheard is what link and uplink use are held to be before any figure has come; surely tells how
+// many sessions of its own a director must see on a link to believe them as much as what is usual.
+const (
+	unheard  = 0.5
+	surely   = 2
+	recently = 8 // figures that make up what is usual
+)
+
+// count adds to what is asked of a node's link and of its rack's uplink.
+func (g *gauge) count(n *node, onLink, onUplink float64) {
+	n.use.add(g.now, g.late, onLink)
+	g.racks[n.rack].use.add(g.now, g.late, onUplink)
+}
+
+// heard takes a figure of a node's link that tells of a time.
+func (g *gauge) heard(n *node, figure float64, of time.Duration) {
+	g.links += (figure - n.own/n.size - g.links) / recently
+	n.use.hear(figure, n.size, hearing, of)
+}
+
+func (g *gauge) heardUplink(r int, figure float64, of time.Duration) {
+	g.told = true
+	g.uplinks += (figure - g.racks[r].own/g.racks[r].size - g.uplinks) / recently
+	g.racks[r].use.hear(figure, g.fleet.Uplink, hearing, of)
 }
 
 // echoes tells how many times over a change of a session that plays counts: the other directors
@@ -531,33 +583,40 @@
 	return min(max(1, asked/own), 2*most)
 }
 
-// link is the part of a node's link that is asked; before any figure has come, the director takes
-// its own use for a fair sample of everybody's.
-func (g *gauge) link(n *node) float64 {
-	if !n.use.known {
-		return n.own * g.directors / n.size
-	}
-	return max(0, n.use.heard+n.use.since()/n.size)
-}
+// link is the part of a node's link that is asked.
+func (g *gauge) link(n *node) float64 { return g.figure(&n.use, n.size, n.own, g.links) }
 
 func (g *gauge) uplink(r int, nodes []node) float64 {
-	if up := &g.racks[r].use; up.known {
-		return max(0, up.heard+up.since()/g.fleet.Uplink)
+	if up := &g.racks[r]; g.told {
+		return g.figure(&up.use, g.fleet.Uplink, up.own, g.uplinks)
 	}
 	return g.asked(r, nodes) / g.racks[r].size
 }
 
+// figure is the last one heard and what was changed since; as it grows older than the next was due
+// it gives way to a guess: what is usual elsewhere, and this director's own use as a sample of all
+// directors', weighed by what each can tell. It guards against figures that nothing keeps true.
+func (g *gauge) figure(m *meter, size, own, usual float64) float64 {
+	share := surely * g.middle
+	guess := (share + own) / (share/max(0.01, usual) + size/g.directors)
+	if !m.known {
+		return guess
+	}
+	trust := math.Exp2(-max(0, float64(g.now-m.of-g.fresh)/float64(switchEvery)))
+	return max(0, trust*(m.heard+m.since()/size)+(1-trust)*guess)
+}
+
 // learn takes an uplink's size from short delivery on most of a rack that the links do not explain,
 // where no uplink figure is told. It guards against a poor or sagging uplink; it harms where many
 // links of a rack run short at once, so it moves by a tenth a note and grows back once all is well.
-func (g *gauge) learn(n *node, nodes []node, share float64, now time.Duration) {
+func (g *gauge) learn(n *node, nodes []node, share float64) {
 	r := &g.racks[n.rack]
-	short, all := shortIn(n.rack, nodes, now-rescoreEvery)
+	short, all := shortIn(n.rack, nodes, g.now-rescoreEvery)
 	switch {
-	case r.use.known:
+	case g.told:
 	case share < shortUnder && g.link(n) < keepTo && short > 2 && short*4 >= all*3:
-		r.size, r.shortAt = min(r.size, max(g.asked(n.rack, nodes)*share, r.size*shrinkage)), now
-	case r.size < g.fleet.Uplink && now-r.shortAt > rescoreEvery:
+		r.size, r.shortAt = min(r.size, max(g.asked(n.rack, nodes)*share, r.size*shrinkage)), g.now
+	case r.size < g.fleet.Uplink && g.now-r.shortAt > rescoreEvery:
 		r.size *= regrowth
 	}
 }
@@ -575,18 +634,21 @@
 
 // streams counts a node's streams: from its report, else from its link use.
 func (g *gauge) streams(n *node) float64 {
-	if n.reported < 0 {
+	if n.reported < 0 || n.use.known && g.now-n.reportedAt > g.fresh {
 		return g.link(n) * n.size / g.usual
 	}
 	return max(0, n.reported+float64(n.legs-n.legsThen))
 }
 
-func (g *gauge) report(n *node, load Load, now time.Duration) {
+func (g *gauge) report(n *node, load Load) {
 	if load.Streams >= 0 {
-		n.reported, n.legsThen = load.Streams, n.legs
+		n.reported, n.legsThen, n.reportedAt = load.Streams, n.legs, g.now
+	}
+	if load.Link >= 0 && (!n.use.known || g.now-n.use.of > g.fresh) {
+		g.heard(n, load.Link, g.now-g.late)
 	}
-	if load.Link >= 0 && !n.use.known {
-		n.use = meter{load.Link, true, cut(n.use.changes, now-g.late)}
+	if up := &g.racks[n.rack].use; load.Uplink >= 0 && (!up.known || g.now-up.of > g.fresh) {
+		g.heardUplink(n.rack, load.Uplink, g.now-g.late)
 	}
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -46,6 +46,7 @@
 type meter struct {
 	heard   float64
 	known   bool
+	of      time.Duration // what the figure tells of
 	changes []change
 }
 
@@ -66,7 +67,7 @@
 		}
 		figure = expected + (figure-expected)*weight
 	}
-	m.heard, m.known = figure, true
+	m.heard, m.known, m.of = figure, true, until
 	m.changes = cut(m.changes, until)
 }
 
@@ -90,26 +91,27 @@
 }
 
 type node struct {
-	name     string // empty: the place is free
-	listed   NodeState
-	zone     string
-	cell     int
-	rack     int
-	kind     int
-	born     time.Duration
-	size     float64 // link, kB a second
-	legs     int     // of this director, set-ups and sessions
-	outs     int     // of these, set-ups
-	own      float64 // kB a second booked by this director
-	use      meter
-	reported float64 // streams last reported; under 0: never
-	legsThen int
-	fair     float64
-	shortAt  time.Duration // when a share note last told of short delivery
-	health   health
-	sends    []time.Duration // emptied as they grow older than the tipping time
-	doubted  time.Duration   // when its failure was last witnessed; under 0: not
-	warmAt   time.Duration
+	name       string // empty: the place is free
+	listed     NodeState
+	zone       string
+	cell       int
+	rack       int
+	kind       int
+	born       time.Duration
+	size       float64 // link, kB a second
+	legs       int     // of this director, set-ups and sessions
+	outs       int     // of these, set-ups
+	own        float64 // kB a second booked by this director
+	use        meter
+	reported   float64 // streams last reported; under 0: never
+	legsThen   int
+	reportedAt time.Duration
+	fair       float64
+	shortAt    time.Duration // when a share note last told of short delivery
+	health     health
+	sends      []time.Duration // emptied as they grow older than the tipping time
+	doubted    time.Duration   // when its failure was last witnessed; under 0: not
+	warmAt     time.Duration
 }
 
 type ration struct {
@@ -196,11 +198,16 @@
 
 type gauge struct {
 	fleet     Fleet
+	now       time.Duration
 	late      time.Duration
+	fresh     time.Duration // how old a figure is at most where nodes tell of themselves
 	directors float64
 	middle    float64 // the middle rung's rate
 	usual     float64 // a stream's usual rate
 	racks     []rack
+	links     float64 // what others ask of links lately, as a part of them
+	uplinks   float64
+	told      bool // uplink figures are told here
 }
 
 func (w *warmth) sent(n *node, now time.Duration) { n.sends = append(n.sends, now) }
--- a/policy/types.go
+++ b/policy/types.go
@@ -224,5 +224,6 @@
 	Span  time.Duration
 }
 
-// Tidings is how late nodes tell of their sessions, and the longest backoff that viewers heed.
-type Tidings struct{ Late, Backoff time.Duration }
+// Tidings is how late and how often nodes tell of their sessions, and the longest backoff that
+// viewers heed.
+type Tidings struct{ Late, Every, Backoff time.Duration }
