What is over full steps down to 0.85; share notes tell what is asked

Now the step down aims at 0.85, and a share note (once a second) is heard as a figure of the fuller of link and uplink; a node alone in delivering short (one that hangs) is held against its own link.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -22,6 +22,7 @@
 	fullAt         = 0.95 // of a link or uplink: a node with more asked is chosen last
 	raiseTo        = 0.85 // a rung up to the reference rung is newly taken up to here,
 	spareTo        = 0.75 // a higher one up to here
+	downTo         = 0.85 // what is over full is stepped down to here
 	keepTo         = 1.0  // and a rung in force is kept up to here;
 	creditLean     = 0.1  // the tariffs of most and least credit lie this far apart in all three
 	dropUnder      = 0.75 // share delivered
@@ -422,16 +423,16 @@
 func (d *Director) part(s *session, n *node, rung int, reference float64) float64 {
 	onLink, onUplink := d.gauge.echoes(n, d.nodes)
 	link, uplink := d.gauge.counts(n, d.nodes, 0, 0)
-	more, to := d.rungs.rate(s, rung)-s.carried, keepTo+d.rungs.lean(s.Tariff)
+	more, to := d.rungs.rate(s, rung)-s.carried, d.rungs.lean(s.Tariff)+downTo
 	if more > 0 {
-		to += bar(rung, reference) - keepTo
+		to += bar(rung, reference) - downTo
 	}
 	byLink := (to - link) * n.size / (more * onLink)
 	byUplink := (to - uplink) * d.gauge.racks[n.rack].size / (more * onUplink)
 	switch {
 	case more > 0:
 		return min(byLink, byUplink)
-	case byLink <= 0 && byUplink <= 0:
+	case link <= keepTo && uplink <= keepTo:
 		return 1 // nothing is over full: the step is for fairness
 	}
 	return max(byLink, byUplink)
@@ -516,6 +517,15 @@
 	case ShareNote:
 		if e.Value < shortUnder {
 			n.shortAt = d.now
+			link, uplink := d.gauge.counts(n, d.nodes, 0, 0)
+			asked := 1 / max(e.Value, 0.1)
+			switch {
+			case !d.gauge.told:
+			case uplink > link && uplink > raiseTo:
+				d.gauge.heardUplink(n.rack, min(asked, 1/dropUnder), d.now-d.gauge.late)
+			default:
+				d.gauge.heard(n, asked, d.now-d.gauge.late)
+			}
 		} else {
 			n.shortAt = -rescoreEvery
 		}
