Restarted directors and witnesses of a failure send at a pace that holds at any size

Now a failure that a director has seen counts for as many directors as the node has places, each with one set-up in the time that the budget takes to fill them; a just-started director sends each node one set-up in the tipping time; a told start ends what was seen before it. A full answer now sets the count also where nothing was heard yet. It could harm where a crowd wants one title of a node that came back unlisted.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -744,8 +744,8 @@
 			d.nodes[i] = node{name: x.Node, born: LongAgo, reported: -1, doubted: -1, shortAt: -rescoreEvery}
 		}
 		n := &d.nodes[i]
-		if x.Born > n.born && n.born != LongAgo {
-			n.health = health{}
+		if x.Born > n.born && known { // what was seen of it before has ended
+			n.health, n.doubted, n.warmAt = health{}, -1, 0
 		}
 		n.listed, n.zone, n.cell, n.kind, n.born = x.State, x.Zone, x.Cell, x.Kind, x.Born
 		n.rack = x.Cell % len(d.gauge.racks)
@@ -799,7 +799,9 @@
 func (d *Director) symptom(n *node, s *session, o Outcome) {
 	s.suspected = true
 	if o == Full { // it runs, but has no room: its figure must be out of date
-		n.use.heard = max(n.use.heard, d.gauge.fleet.RefusesFrom-n.use.since()/n.size)
+		if full := cmp.Or(d.gauge.fleet.RefusesFrom, 1); d.gauge.link(n) < full {
+			n.use.hear(full, n.size, 1, d.now)
+		}
 		return
 	}
 	if o != Errored {
@@ -832,35 +834,54 @@
 
 // Warmth: what a node that may have just started can take.
 
-// cold tells whether a node may be warming up: it is newly listed as started, or its failure was
-// witnessed, or this director has just started itself and can't know.
-func (w *warmth) cold(n *node, now time.Duration) bool {
-	return n.born != LongAgo && now < n.born+w.ramp.Warmup || n.doubted >= 0 || now < n.warmAt ||
-		now < w.ramp.Warmup && !w.handed
-}
-
-// may keeps all directors together under the fall budget of a node that may be cold. Where the
-// budget has no whole set-up for each director, one of them, told by the node's name, has it all.
+// may keeps all directors together under the fall budget of a node that may be cold. A node that the
+// list tells to have started is cold to all of them: each has its whole part of the budget, and where
+// that is under one set-up, one director, told by the node's name, has all of it. A failure that this
+// director has seen was seen by no more directors than the node has places; with one set-up each in
+// the time that the budget takes to fill the places they stay within it. One that has just started
+// itself, and can't know which nodes its predecessor saw fail, sends each its part, or one at a time.
 func (w *warmth) may(n *node, now time.Duration) bool {
-	n.sends = slices.DeleteFunc(n.sends, func(at time.Duration) bool { return now-at > w.ramp.TipAfter })
-	if !w.cold(n, now) {
+	told := n.born != LongAgo && now < n.born+w.ramp.Warmup
+	seen := n.doubted >= 0 || now < n.warmAt
+	blank := now < w.ramp.Warmup && !w.handed
+	if !told && !seen && !blank {
 		return true
 	}
-	if now < w.ramp.TipAfter && !w.handed && n.born != LongAgo {
+	if now < w.ramp.TipAfter && blank && n.born != LongAgo {
 		return false // a predecessor of this director may just have spent its part
 	}
 	places := 1.0
 	if n.kind < len(w.ramp.Places) {
 		places = w.ramp.Places[n.kind]
 	}
-	budget := w.ramp.Multiple * places * w.ramp.ColdFrom * w.ramp.TipAfter.Seconds() /
-		max(w.ramp.Warmup, time.Millisecond).Seconds()
+	fill, lately := w.fill(), 0
+	n.sends = recent(n.sends, now-fill)
+	for _, at := range n.sends {
+		if now-at <= w.ramp.TipAfter {
+			lately++
+		}
+	}
+	budget := places * w.ramp.TipAfter.Seconds() / max(fill, time.Millisecond).Seconds()
 	directors := max(1, w.peers.Directors)
-	mine := int(budget / float64(directors))
-	if mine == 0 && owner(n.name, directors) == w.peers.Me {
-		mine = int(budget)
+	switch mine := int(budget / float64(directors)); {
+	case lately < mine:
+		return true
+	case told:
+		return mine == 0 && owner(n.name, directors) == w.peers.Me && lately < int(budget)
+	case seen:
+		return len(n.sends) == 0
+	default:
+		return lately == 0
 	}
-	return len(n.sends) < mine
+}
+
+// fill is the time that the fall budget takes to fill a node's places.
+func (w *warmth) fill() time.Duration {
+	return max(w.ramp.TipAfter, time.Duration(float64(w.ramp.Warmup)/max(w.ramp.Multiple*w.ramp.ColdFrom, 0.01)))
+}
+
+func (w *warmth) sent(n *node, now time.Duration) {
+	n.sends = append(recent(n.sends, now-w.fill()), now)
 }
 
 // answered ends the doubt: the node runs, and is warm a warm-up from now at the latest.
--- a/policy/state.go
+++ b/policy/state.go
@@ -109,7 +109,7 @@
 	fair       float64
 	shortAt    time.Duration // when a share note last told of short delivery
 	health     health
-	sends      []time.Duration // emptied as they grow older than the tipping time
+	sends      []time.Duration // emptied as they grow older than the time that the fall budget takes to fill the places
 	doubted    time.Duration   // when its failure was last witnessed; under 0: not
 	warmAt     time.Duration
 }
@@ -210,8 +210,6 @@
 	told      bool // uplink figures are told here
 }
 
-func (w *warmth) sent(n *node, now time.Duration) { n.sends = append(n.sends, now) }
-
 func (w *warmth) doubt(n *node, now time.Duration) { n.doubted = now }
 
 // settle lets an ended session go once no leg of it is out.
