Nothing is set up on links or uplinks known to be over full

Cause: on short nodes nine tenths of what was asked came from sessions already at their floor, so no step could help; each further set-up there cost the others six times what it earned. Holders over full are left out, as nodes that turn away from a full link already were; the session waits for another until its goal time and is then nacked. It could harm where a figure is stuck high: it fades after the next was due.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -284,6 +284,7 @@
 // those with room at the lowest rung, then among any that would not turn it away.
 func (d *Director) choose(s *session, t *Tariff) int {
 	var roomy, others []int
+	full := cmp.Or(d.gauge.fleet.RefusesFrom, 1)
 	for i := range d.nodes {
 		n := &d.nodes[i]
 		if n.name == "" || n.listed != Up || (n.cell-s.Base+d.gauge.fleet.Cells)%d.gauge.fleet.Cells >= s.Copies {
@@ -299,7 +300,7 @@
 		switch link, uplink := d.gauge.counts(n, d.nodes, least, least); {
 		case link <= fullAt && uplink <= fullAt:
 			roomy = append(roomy, i)
-		case d.gauge.fleet.RefusesFrom == 0 || d.gauge.link(n) < d.gauge.fleet.RefusesFrom:
+		case d.gauge.link(n) < full && d.gauge.uplink(n.rack, d.nodes) < full:
 			others = append(others, i)
 		}
 	}
