Only holders with room are set up on; blind set-ups leave the spread of links as room

Where nodes take set-ups however full, such a set-up now leaves the usual distance between figures as room, and holders that would be asked over 0.9 at the lowest rung are left out everywhere (0.95 before, with a second choice of fuller ones).

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -19,7 +19,7 @@
 	rescoreEvery   = 2 * time.Second
 	switchEvery    = 10 * time.Second
 	meanSpan       = 70 * time.Second
-	fullAt         = 0.95 // of a link or uplink: a node with more asked is chosen last
+	fullAt         = 0.9  // of a link or uplink: nothing is set up where more would be asked
 	raiseTo        = 0.85 // a rung up to the reference rung is newly taken up to here,
 	spareTo        = 0.75 // a higher one up to here
 	downTo         = 0.85 // what is over full is stepped down to here
@@ -280,11 +280,11 @@
 	d.carry(s, rung)
 }
 
-// choose picks the lower link share of two random holders that may take the session: first among
-// those with room at the lowest rung, then among any that would not turn it away.
+// choose picks the lower link share of two random holders that may take the session and have room for
+// it at its lowest rung. It guards against overfilling what no step can relieve: on a link that is full
+// with sessions at their floor each further one costs the others more than it earns.
 func (d *Director) choose(s *session, t *Tariff) int {
-	var roomy, others []int
-	full := cmp.Or(d.gauge.fleet.RefusesFrom, 1)
+	var roomy []int
 	for i := range d.nodes {
 		n := &d.nodes[i]
 		if n.name == "" || n.listed != Up || (n.cell-s.Base+d.gauge.fleet.Cells)%d.gauge.fleet.Cells >= s.Copies {
@@ -297,16 +297,10 @@
 			continue
 		}
 		least := d.rungs.rate(s, t.Floor)
-		switch link, uplink := d.gauge.counts(n, d.nodes, least, least); {
-		case link <= fullAt && uplink <= fullAt:
+		if link, uplink := d.gauge.counts(n, d.nodes, least, least); max(link, uplink) <= fullAt {
 			roomy = append(roomy, i)
-		case d.gauge.link(n) < full && d.gauge.uplink(n.rack, d.nodes) < full:
-			others = append(others, i)
 		}
 	}
-	if len(roomy) == 0 {
-		roomy = others
-	}
 	if len(roomy) == 0 {
 		return -1
 	}
@@ -403,6 +397,9 @@
 			onLink, onUplink = d.gauge.echoes(n, d.nodes)
 		}
 		link, uplink := d.gauge.counts(n, d.nodes, more*onLink, more*onUplink)
+		if s.phase != playing && d.gauge.fleet.RefusesFrom == 0 { // else a full node says so itself
+			link += (1 - d.gauge.trust(&n.use)) * d.gauge.spread
+		}
 		use := max(link, uplink)
 		if use <= bar(q, reference)+lean || s.phase == playing && q <= s.rung && use <= keepTo+lean {
 			return q
@@ -569,7 +566,9 @@
 
 // heard takes a figure of a node's link that tells of a time.
 func (g *gauge) heard(n *node, figure float64, of time.Duration) {
-	g.links += (figure - n.own/n.size - g.links) / recently
+	others := figure - n.own/n.size
+	g.links += (others - g.links) / recently
+	g.spread += (math.Abs(others-g.links) - g.spread) / recently
 	n.use.hear(figure, n.size, hearing, of)
 }
 
@@ -604,6 +603,13 @@
 	return g.asked(r, nodes) / g.racks[r].size
 }
 
+func (g *gauge) trust(m *meter) float64 {
+	if !m.known {
+		return 0
+	}
+	return math.Exp2(-max(0, float64(g.now-m.of-g.fresh)/float64(switchEvery)))
+}
+
 // figure is the last one heard and what was changed since; as it grows older than the next was due
 // it gives way to a guess: what is usual elsewhere, and this director's own use as a sample of all
 // directors', weighed by what each can tell. It guards against figures that nothing keeps true.
@@ -613,7 +619,7 @@
 	if !m.known {
 		return guess
 	}
-	trust := math.Exp2(-max(0, float64(g.now-m.of-g.fresh)/float64(switchEvery)))
+	trust := g.trust(m)
 	return max(0, trust*(m.heard+m.since()/size)+(1-trust)*guess)
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -207,7 +207,8 @@
 	racks     []rack
 	links     float64 // what others ask of links lately, as a part of them
 	uplinks   float64
-	told      bool // uplink figures are told here
+	spread    float64 // how far figures of links lie from it
+	told      bool    // uplink figures are told here
 }
 
 func (w *warmth) doubt(n *node, now time.Duration) { n.doubted = now }
