--- a/policy/policy.go
+++ b/policy/policy.go
@@ -71,9 +71,6 @@
 		ids:     newDoor[uint64](),
 		names:   newDoor[string](),
 	}
-	for r := range d.gauge.racks {
-		d.gauge.racks[r].size = fleet.Uplink
-	}
 	return d
 }
 
@@ -304,18 +301,14 @@
 	if len(roomy) == 0 {
 		return -1
 	}
-	a := d.chance.below(len(roomy))
-	if len(roomy) == 1 {
-		return roomy[a]
-	}
-	b := d.chance.below(len(roomy) - 1)
-	if b >= a {
-		b++
-	}
-	if d.weighed(&d.nodes[roomy[b]]) < d.weighed(&d.nodes[roomy[a]]) {
-		a = b
+	k := d.chance.below(len(roomy))
+	a := roomy[k]
+	if roomy = slices.Delete(roomy, k, k+1); len(roomy) > 0 {
+		if b := roomy[d.chance.below(len(roomy))]; d.weighed(&d.nodes[b]) < d.weighed(&d.nodes[a]) {
+			return b
+		}
 	}
-	return roomy[a]
+	return a
 }
 
 // weighed is a node's link share, and what crossing to its zone costs set against it.
@@ -426,7 +419,7 @@
 		to += bar(rung, reference) - downTo
 	}
 	byLink := (to - link) * n.size / (more * onLink)
-	byUplink := (to - uplink) * d.gauge.racks[n.rack].size / (more * onUplink)
+	byUplink := (to - uplink) * d.gauge.fleet.Uplink / (more * onUplink)
 	switch {
 	case more > 0:
 		return min(byLink, byUplink)
@@ -527,7 +520,6 @@
 		} else {
 			n.shortAt = -rescoreEvery
 		}
-		d.gauge.learn(n, d.nodes, e.Value)
 		floor := d.rungs.tariffs[s.Tariff].Floor
 		if e.Value < dropUnder && s.phase == playing && s.rung > floor {
 			d.change(s, floor, (1-e.Value)*n.own/(s.carried-d.rungs.rate(s, floor)))
@@ -538,7 +530,6 @@
 			late = 0
 		}
 		if e.Kind == LinkNote {
-			d.gauge.learn(n, d.nodes, 1)
 			d.gauge.heard(n, e.Value, d.now-late)
 			d.warmth.lived(n, s.started)
 		} else {
@@ -574,7 +565,7 @@
 
 func (g *gauge) heardUplink(r int, figure float64, of time.Duration) {
 	g.told = true
-	g.uplinks += (figure - g.racks[r].own/g.racks[r].size - g.uplinks) / recently
+	g.uplinks += (figure - g.racks[r].own/g.fleet.Uplink - g.uplinks) / recently
 	g.racks[r].use.hear(figure, g.fleet.Uplink, hearing, of)
 }
 
@@ -583,7 +574,7 @@
 func (g *gauge) echoes(n *node, nodes []node) (link, uplink float64) {
 	r := &g.racks[n.rack]
 	return echo(n.use.known, n.use.heard*n.size, n.own, g.directors),
-		echo(n.use.known, g.uplink(n.rack, nodes)*r.size, r.own, g.directors)
+		echo(n.use.known, g.uplink(n.rack, nodes)*g.fleet.Uplink, r.own, g.directors)
 }
 
 func echo(known bool, asked, own, most float64) float64 {
@@ -600,7 +591,7 @@
 	if up := &g.racks[r]; g.told {
 		return g.figure(&up.use, g.fleet.Uplink, up.own, g.uplinks)
 	}
-	return g.asked(r, nodes) / g.racks[r].size
+	return g.asked(r, nodes) / g.fleet.Uplink
 }
 
 func (g *gauge) trust(m *meter) float64 {
@@ -623,30 +614,9 @@
 	return max(0, trust*(m.heard+m.since()/size)+(1-trust)*guess)
 }
 
-// learn takes an uplink's size from short delivery on most of a rack that the links do not explain,
-// where no uplink figure is told. It guards against a poor or sagging uplink; it harms where many
-// links of a rack run short at once, so it moves by a tenth a note and grows back once all is well.
-func (g *gauge) learn(n *node, nodes []node, share float64) {
-	r := &g.racks[n.rack]
-	short, all := shortIn(n.rack, nodes, g.now-rescoreEvery)
-	switch {
-	case g.told:
-	case share < shortUnder && g.link(n) < keepTo && short > 2 && short*4 >= all*3:
-		r.size, r.shortAt = min(r.size, max(g.asked(n.rack, nodes)*share, r.size*shrinkage)), g.now
-	case r.size < g.fleet.Uplink && g.now-r.shortAt > rescoreEvery:
-		r.size *= regrowth
-	}
-}
-
-// shrinkage and regrowth bound how far one note moves a learned uplink.
-const (
-	shrinkage = 0.9
-	regrowth  = 1.05
-)
-
 // counts tells what would be asked of a node's link and uplink with so much more.
 func (g *gauge) counts(n *node, nodes []node, onLink, onUplink float64) (link, uplink float64) {
-	return g.link(n) + onLink/n.size, g.uplink(n.rack, nodes) + onUplink/g.racks[n.rack].size
+	return g.link(n) + onLink/n.size, g.uplink(n.rack, nodes) + onUplink/g.fleet.Uplink
 }
 
 // streams counts a node's streams: from its report, else from its link use.
@@ -688,7 +658,7 @@
 			total += streams[len(streams)-1]
 		}
 	}
-	rates := fair(g.racks[r].size/max(1, total), links, streams)
+	rates := fair(g.fleet.Uplink/max(1, total), links, streams)
 	for k, i := range members {
 		nodes[i].fair = rates[k]
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -35,10 +35,8 @@
 }
 
 type rack struct {
-	size    float64 // uplink, kB a second: as told, or as learned
-	shortAt time.Duration
-	use     meter
-	own     float64 // kB a second booked by this director
+	use meter
+	own float64 // kB a second booked by this director
 }
 
 // A meter is a figure heard and what this director has changed since, kB a second. Changes are
@@ -148,19 +146,6 @@
 	return count
 }
 
-// shortIn counts a rack's nodes with own sessions, and those that delivered short since a time.
-func shortIn(r int, nodes []node, since time.Duration) (short, all int) {
-	for i := range nodes {
-		if n := &nodes[i]; n.name != "" && n.rack == r && n.legs > 0 {
-			all++
-			if n.shortAt > since {
-				short++
-			}
-		}
-	}
-	return short, all
-}
-
 // asked is what is asked of a rack's links together, kB a second.
 func (g *gauge) asked(r int, nodes []node) (kB float64) {
 	for i := range nodes {
