--- a/policy/policy.go
+++ b/policy/policy.go
@@ -294,7 +294,7 @@
 			continue
 		}
 		least := d.rungs.rate(s, t.Floor)
-		if link, uplink := d.gauge.counts(n, d.nodes, least, least); max(link, uplink) <= fullAt {
+		if link, uplink := d.gauge.counts(n, least, least); max(link, uplink) <= fullAt {
 			roomy = append(roomy, i)
 		}
 	}
@@ -387,9 +387,9 @@
 		more := d.rungs.rate(s, q) - s.carried
 		onLink, onUplink := 1.0, 1.0
 		if more < 0 {
-			onLink, onUplink = d.gauge.echoes(n, d.nodes)
+			onLink, onUplink = d.gauge.echoes(n)
 		}
-		link, uplink := d.gauge.counts(n, d.nodes, more*onLink, more*onUplink)
+		link, uplink := d.gauge.counts(n, more*onLink, more*onUplink)
 		if s.phase != playing && d.gauge.fleet.RefusesFrom == 0 { // else a full node says so itself
 			link += (1 - d.gauge.trust(&n.use)) * d.gauge.spread
 		}
@@ -412,8 +412,8 @@
 // part is the part of those who heard the same figures that must step as this session would to
 // bring link and uplink to their bar. It guards against all of them stepping at once.
 func (d *Director) part(s *session, n *node, rung int, reference float64) float64 {
-	onLink, onUplink := d.gauge.echoes(n, d.nodes)
-	link, uplink := d.gauge.counts(n, d.nodes, 0, 0)
+	onLink, onUplink := d.gauge.echoes(n)
+	link, uplink := d.gauge.counts(n, 0, 0)
 	more, to := d.rungs.rate(s, rung)-s.carried, d.rungs.lean(s.Tariff)+downTo
 	if more > 0 {
 		to += bar(rung, reference) - downTo
@@ -463,7 +463,7 @@
 // counted on to go by theirs.
 func (d *Director) change(s *session, rung int, part float64) {
 	n, more := &d.nodes[s.node], d.rungs.rate(s, rung)-s.carried
-	onLink, onUplink := d.gauge.echoes(n, d.nodes)
+	onLink, onUplink := d.gauge.echoes(n)
 	part = min(1, max(part, 1/max(onLink, onUplink)))
 	d.gauge.count(n, part*(onLink-1)*more, part*(onUplink-1)*more)
 	if d.chance.share() < part {
@@ -508,7 +508,7 @@
 	case ShareNote:
 		if e.Value < shortUnder {
 			n.shortAt = d.now
-			link, uplink := d.gauge.counts(n, d.nodes, 0, 0)
+			link, uplink := d.gauge.counts(n, 0, 0)
 			asked := 1 / max(e.Value, 0.1)
 			switch {
 			case !d.gauge.told:
@@ -571,29 +571,28 @@
 
 // echoes tells how many times over a change of a session that plays counts: the other directors
 // hear the same figure and act on it alike, each on its part of what is asked.
-func (g *gauge) echoes(n *node, nodes []node) (link, uplink float64) {
-	r := &g.racks[n.rack]
-	return echo(n.use.known, n.use.heard*n.size, n.own, g.directors),
-		echo(n.use.known, g.uplink(n.rack, nodes)*g.fleet.Uplink, r.own, g.directors)
-}
-
-func echo(known bool, asked, own, most float64) float64 {
-	if !known || own <= 0 {
-		return 1
+func (g *gauge) echoes(n *node) (link, uplink float64) {
+	echo := func(asked, own float64) float64 {
+		if !n.use.known || own <= 0 {
+			return 1
+		}
+		return min(max(1, asked/own), 2*g.directors)
 	}
-	return min(max(1, asked/own), 2*most)
+	return echo(n.use.heard*n.size, n.own), echo(g.uplink(n.rack)*g.fleet.Uplink, g.racks[n.rack].own)
 }
 
 // link is the part of a node's link that is asked.
 func (g *gauge) link(n *node) float64 { return g.figure(&n.use, n.size, n.own, g.links) }
 
-func (g *gauge) uplink(r int, nodes []node) float64 {
-	if up := &g.racks[r]; g.told {
-		return g.figure(&up.use, g.fleet.Uplink, up.own, g.uplinks)
+// uplink is the part of a rack's uplink that is asked; where that is never told it counts as free.
+func (g *gauge) uplink(r int) float64 {
+	if !g.told {
+		return 0
 	}
-	return g.asked(r, nodes) / g.fleet.Uplink
+	return g.figure(&g.racks[r].use, g.fleet.Uplink, g.racks[r].own, g.uplinks)
 }
 
+// trust is how far a figure still holds: it halves in a switching time once the next was due.
 func (g *gauge) trust(m *meter) float64 {
 	if !m.known {
 		return 0
@@ -601,22 +600,18 @@
 	return math.Exp2(-max(0, float64(g.now-m.of-g.fresh)/float64(switchEvery)))
 }
 
-// figure is the last one heard and what was changed since; as it grows older than the next was due
-// it gives way to a guess: what is usual elsewhere, and this director's own use as a sample of all
-// directors', weighed by what each can tell. It guards against figures that nothing keeps true.
+// figure is the last one heard and what was changed since; as that fades it gives way to what is usual
+// elsewhere and this director's own use as a sample of all directors', weighed by what each can tell.
+// It guards against figures that nothing keeps true, and against one session read as a full link.
 func (g *gauge) figure(m *meter, size, own, usual float64) float64 {
-	share := surely * g.middle
+	share, trust := surely*g.middle, g.trust(m)
 	guess := (share + own) / (share/max(0.01, usual) + size/g.directors)
-	if !m.known {
-		return guess
-	}
-	trust := g.trust(m)
 	return max(0, trust*(m.heard+m.since()/size)+(1-trust)*guess)
 }
 
 // counts tells what would be asked of a node's link and uplink with so much more.
-func (g *gauge) counts(n *node, nodes []node, onLink, onUplink float64) (link, uplink float64) {
-	return g.link(n) + onLink/n.size, g.uplink(n.rack, nodes) + onUplink/g.fleet.Uplink
+func (g *gauge) counts(n *node, onLink, onUplink float64) (link, uplink float64) {
+	return g.link(n) + onLink/n.size, g.uplink(n.rack) + onUplink/g.fleet.Uplink
 }
 
 // streams counts a node's streams: from its report, else from its link use.
--- a/policy/state.go
+++ b/policy/state.go
@@ -146,16 +146,6 @@
 	return count
 }
 
-// asked is what is asked of a rack's links together, kB a second.
-func (g *gauge) asked(r int, nodes []node) (kB float64) {
-	for i := range nodes {
-		if n := &nodes[i]; n.name != "" && n.rack == r {
-			kB += g.link(n) * n.size
-		}
-	}
-	return kB
-}
-
 // shares tells whether a live title's stream already runs where the session is.
 func (d *Director) shares(s *session) bool {
 	for i := range d.sessions {
