--- a/policy/policy.go
+++ b/policy/policy.go
@@ -47,7 +47,6 @@
 	watch    time.Duration // how often the list is asked for; 0: it is pushed
 	asked    time.Duration
 	begun    bool
-	trusting bool         // nearly everyone is suspect, so nobody is
 	ids      door[uint64] // emptied as sessions end
 	sessions []session    // a place is used again once its session has left the door
 	names    door[string] // emptied as nodes leave the list and their last session ends
@@ -161,7 +160,6 @@
 	d.warmth.answered(n, d.now)
 	if n.health.wentWell() {
 		d.log("node %s is trusted again", n.name)
-		d.judge()
 	}
 }
 
@@ -279,25 +277,33 @@
 
 // choose picks the lower link share of two random holders that may take the session and have room for
 // it at its lowest rung. It guards against overfilling what no step can relieve: on a link that is full
-// with sessions at their floor each further one costs the others more than it earns.
+// with sessions at their floor each further one costs the others more than it earns. Holders set aside
+// come last, for a paid session only where all are: trouble that strikes all is not theirs.
 func (d *Director) choose(s *session, t *Tariff) int {
-	var roomy []int
+	var roomy, aside []int
+	well, least := 0, d.rungs.rate(s, t.Floor)
 	for i := range d.nodes {
 		n := &d.nodes[i]
 		if n.name == "" || n.listed != Up || (n.cell-s.Base+d.gauge.fleet.Cells)%d.gauge.fleet.Cells >= s.Copies {
 			continue
 		}
-		if slices.Contains(s.tried, i) || !d.warmth.may(n, d.now) {
-			continue
-		}
-		if !d.trusting && !n.health.may(n.outs, t.Paid, d.now) {
-			continue
+		may := n.health.may(n.outs, t.Paid, d.now)
+		if may {
+			well++
 		}
-		least := d.rungs.rate(s, t.Floor)
-		if link, uplink := d.gauge.counts(n, least, least); max(link, uplink) <= fullAt {
+		link, uplink := d.gauge.counts(n, least, least)
+		switch {
+		case max(link, uplink) > fullAt || slices.Contains(s.tried, i) || !d.warmth.may(n, d.now) ||
+			!may && n.outs > 0:
+		case may:
 			roomy = append(roomy, i)
+		default:
+			aside = append(aside, i)
 		}
 	}
+	if len(roomy) == 0 && (well == 0 || !t.Paid) {
+		roomy = aside
+	}
 	if len(roomy) == 0 {
 		return -1
 	}
@@ -634,57 +640,49 @@
 	}
 }
 
-// fairRates computes the fair rate of every node of a rack.
+// fairRates computes the fair rate of every node of a rack. A stream's usual rate is that of this
+// director's own sessions, of which the middle rung's counts as one.
 func (g *gauge) fairRates(r int, nodes []node) {
-	var links, streams []float64
-	var members []int
-	own, legs := g.middle, 1.0 // a stream's usual rate: this director's own sessions, or the middle rung's
+	var members []*node
+	own, legs, total := g.middle, 1.0, 0.0
 	for i := range nodes {
-		own += nodes[i].own
-		legs += float64(nodes[i].legs)
-	}
-	g.usual = own / legs
-	total := 0.0
-	for i := range nodes {
-		if n := &nodes[i]; n.name != "" && n.rack == r {
-			members = append(members, i)
-			links = append(links, n.size)
-			streams = append(streams, g.streams(n))
-			total += streams[len(streams)-1]
+		n := &nodes[i]
+		own += n.own
+		legs += float64(n.legs)
+		if n.name != "" && n.rack == r {
+			members = append(members, n)
 		}
 	}
-	rates := fair(g.fleet.Uplink/max(1, total), links, streams)
-	for k, i := range members {
-		nodes[i].fair = rates[k]
+	g.usual = own / legs
+	for _, n := range members {
+		n.streams = g.streams(n)
+		total += n.streams
 	}
+	fair(g.fleet.Uplink/max(1, total), members)
 }
 
 // fair is the paper's algorithm 2: nodes whose cap lies at or under the parent rate keep it and
 // pool what they leave; the rest, by rising cap, share the pool.
-func fair(parent float64, links, streams []float64) []float64 {
-	rates := make([]float64, len(links))
-	order := make([]int, len(links))
+func fair(parent float64, nodes []*node) {
 	pool, entitled := 0.0, 0.0
-	for i := range links {
-		order[i] = i
-		rates[i] = links[i] / max(1, streams[i])
-		if rates[i] <= parent {
-			pool += (parent - rates[i]) * streams[i]
+	for _, n := range nodes {
+		n.fair = n.size / max(1, n.streams)
+		if n.fair <= parent {
+			pool += (parent - n.fair) * n.streams
 		} else {
-			entitled += streams[i]
+			entitled += n.streams
 		}
 	}
-	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(rates[a], rates[b]) })
-	for _, i := range order {
-		if cap := rates[i]; cap > parent {
+	slices.SortStableFunc(nodes, func(a, b *node) int { return cmp.Compare(a.fair, b.fair) })
+	for _, n := range nodes {
+		if cap := n.fair; cap > parent {
 			if entitled > 0 {
-				rates[i] = min(cap, parent+pool/entitled)
+				n.fair = min(cap, parent+pool/entitled)
 			} // an entitled node without streams keeps its cap
-			pool -= (rates[i] - parent) * streams[i]
-			entitled -= streams[i]
+			pool -= (n.fair - parent) * n.streams
+			entitled -= n.streams
 		}
 	}
-	return rates
 }
 
 // Nodes and the list.
@@ -693,14 +691,9 @@
 	if e.Kind == Unavailable {
 		return // the next pulse past the asking time asks again
 	}
-	if e.Kind != Update {
-		for i := range d.nodes {
-			n := &d.nodes[i]
-			named := slices.ContainsFunc(e.Entries, func(x Entry) bool { return x.Node == n.name })
-			if n.name != "" && !named {
-				n.listed = Removed
-				d.dropNode(i)
-			}
+	for i := range d.nodes {
+		if e.Kind != Update { // the whole list: who is not named is gone
+			d.nodes[i].listed = Removed
 		}
 	}
 	for _, x := range e.Entries {
@@ -725,9 +718,9 @@
 		if n.size <= 0 {
 			n.size = max(1, d.gauge.fleet.LinkUnit)
 		}
-		if x.State == Removed {
-			d.dropNode(i)
-		}
+	}
+	for i := range d.nodes {
+		d.dropNode(i)
 	}
 	for r := range d.gauge.racks {
 		d.gauge.fairRates(r, d.nodes)
@@ -784,24 +777,6 @@
 	}
 	goal := d.rungs.tariffs[s.Tariff].GoalTime
 	n.health = health{trickle: 1, until: d.now + pauseLegs*legTime(goal)}
-	d.judge()
-}
-
-// judge tells trouble of nodes from trouble elsewhere: once most are suspect, nobody is set aside.
-func (d *Director) judge() {
-	suspects, all := 0, 0
-	for i := range d.nodes {
-		if n := &d.nodes[i]; n.name != "" && n.listed == Up {
-			all++
-			if n.health.trickle > 0 {
-				suspects++
-			}
-		}
-	}
-	if nearly := suspects*2 > all; nearly != d.trusting {
-		d.trusting = nearly
-		d.log("suspecting %d of %d nodes: distrust is %v", suspects, all, !nearly)
-	}
 }
 
 // Warmth: what a node that may have just started can take.
--- a/policy/state.go
+++ b/policy/state.go
@@ -104,6 +104,7 @@
 	reported   float64 // streams last reported; under 0: never
 	legsThen   int
 	reportedAt time.Duration
+	streams    float64 // as counted for the fair rate
 	fair       float64
 	shortAt    time.Duration // when a share note last told of short delivery
 	health     health
