--- a/policy/policy.go
+++ b/policy/policy.go
@@ -45,7 +45,7 @@
 	ration   ration
 	backoff  time.Duration
 	watch    time.Duration // how often the list is asked for; 0: it is pushed
-	asked    time.Duration
+	askAt    time.Duration
 	begun    bool
 	ids      door[uint64] // emptied as sessions end
 	sessions []session    // a place is used again once its session has left the door
@@ -78,10 +78,7 @@
 	d.now, d.gauge.now, d.out = now, now, d.out[:0]
 	if !d.begun {
 		d.begun = true
-		d.do(Schedule{now + pulse})
-		if d.watch > 0 {
-			d.ask()
-		}
+		d.lookAround()
 	}
 	switch e := happened.(type) {
 	case Demand:
@@ -124,9 +121,8 @@
 		return
 	}
 	s := &d.sessions[i]
-	s.phase, s.sent, s.started, s.scored = playing, d.now, d.now, d.now
-	s.switched = d.now - switchEvery
-	s.mean = float64(s.rung)
+	s.sent = d.now
+	d.plays(s)
 	if n, ok := d.names.find(e.Playing); ok {
 		s.node = n
 		d.warmth.handed = true
@@ -153,16 +149,23 @@
 		return
 	}
 	s := &d.sessions[i]
-	s.phase, s.started, s.switched = playing, d.now, d.now-switchEvery
-	s.scored, s.mean = d.now, float64(s.rung)
+	d.plays(s)
 	n := &d.nodes[s.node]
 	n.outs--
-	d.warmth.answered(n, d.now)
+	if n.doubted >= 0 { // it runs, and is warm a warm-up from now at the latest
+		n.doubted, n.warmAt = -1, d.now+d.warmth.ramp.Warmup
+	}
 	if n.health.wentWell() {
 		d.log("node %s is trusted again", n.name)
 	}
 }
 
+// plays starts a session's clocks; its first switch is free of the wait.
+func (d *Director) plays(s *session) {
+	s.phase, s.started, s.scored, s.switched = playing, d.now, d.now, d.now-switchEvery
+	s.mean = float64(s.rung)
+}
+
 func (d *Director) result(e Result) {
 	i, ok := d.ids.find(e.ID)
 	if !ok || d.sessions[i].phase == held {
@@ -186,11 +189,7 @@
 		s.node = -1
 	}
 	s.phase = held
-	switch e.Outcome {
-	case Full, Unconnected, Moot:
-	default:
-		s.ran = true
-	}
+	s.ran = s.ran || e.Outcome != Full && e.Outcome != Unconnected && e.Outcome != Moot
 	switch {
 	case e.Final || s.ended || was == playing:
 		s.ended = true
@@ -205,8 +204,9 @@
 // lookAround is what is done at each pulse.
 func (d *Director) lookAround() {
 	d.do(Schedule{d.now + pulse})
-	if d.watch > 0 && d.now-d.asked >= d.watch {
-		d.ask()
+	if d.watch > 0 && d.now >= d.askAt {
+		d.askAt = d.now + d.watch
+		d.do(Listen{})
 	}
 	for i := range d.sessions {
 		s := &d.sessions[i]
@@ -244,10 +244,7 @@
 		d.giveUp(i)
 		return
 	}
-	if t.Seats > 0 && d.seated(s) >= t.Seats {
-		return
-	}
-	if len(s.tried) > 0 && !d.ration.may(d.now) {
+	if t.Seats > 0 && d.seated(s) >= t.Seats || len(s.tried) > 0 && !d.ration.may(d.now) {
 		return
 	}
 	at := d.choose(s, t)
@@ -259,7 +256,8 @@
 	}
 	n := &d.nodes[at]
 	s.node = at
-	rung := d.setupRung(s, n)
+	reference := d.rungs.reference(s, n.fair)
+	rung := payoff(t.Floor, d.fitting(s, n, reference), reference, reference)
 	if rung != s.rung {
 		d.do(Rate{s.ID, rung})
 	}
@@ -357,10 +355,8 @@
 // lean is how much further up a link a tariff may go than the middle of all, by its credit: what is
 // short is taken from those first that earn least.
 func (r *rungs) lean(tariff int) float64 {
-	least, most := math.Inf(1), math.Inf(-1)
-	for _, t := range r.tariffs {
-		least, most = min(least, t.Credit), max(most, t.Credit)
-	}
+	byCredit := func(a, b Tariff) int { return cmp.Compare(a.Credit, b.Credit) }
+	least, most := slices.MinFunc(r.tariffs, byCredit).Credit, slices.MaxFunc(r.tariffs, byCredit).Credit
 	if least == most {
 		return 0
 	}
@@ -435,11 +431,6 @@
 	return max(byLink, byUplink)
 }
 
-func (d *Director) setupRung(s *session, n *node) int {
-	reference := d.rungs.reference(s, n.fair)
-	return payoff(d.rungs.tariffs[s.Tariff].Floor, d.fitting(s, n, reference), reference, reference)
-}
-
 func (d *Director) rescore(s *session) {
 	past := d.now - s.started
 	if past > 0 {
@@ -537,7 +528,9 @@
 		}
 		if e.Kind == LinkNote {
 			d.gauge.heard(n, e.Value, d.now-late)
-			d.warmth.lived(n, s.started)
+			if s.started < n.doubted { // with a session from before the doubt, it never died
+				n.doubted = -1
+			}
 		} else {
 			d.gauge.heardUplink(n.rack, e.Value, d.now-late)
 		}
@@ -688,11 +681,8 @@
 // Nodes and the list.
 
 func (d *Director) roster(e Roster) {
-	if e.Kind == Unavailable {
-		return // the next pulse past the asking time asks again
-	}
 	for i := range d.nodes {
-		if e.Kind != Update { // the whole list: who is not named is gone
+		if e.Kind == Replace || e.Kind == Restored { // the whole list: who is not named is gone
 			d.nodes[i].listed = Removed
 		}
 	}
@@ -727,11 +717,6 @@
 	}
 }
 
-func (d *Director) ask() {
-	d.asked = d.now
-	d.do(Listen{})
-}
-
 // Health, from symptoms alone.
 
 // pauseLegs is how many leg times a node is left alone after a failed leg; trusted is the trickle
@@ -764,19 +749,16 @@
 func (d *Director) symptom(n *node, s *session, o Outcome) {
 	s.suspected = true
 	if o == Full { // it runs, but has no room: its figure must be out of date
-		if full := cmp.Or(d.gauge.fleet.RefusesFrom, 1); d.gauge.link(n) < full {
-			n.use.hear(full, n.size, 1, d.now)
-		}
+		n.use.hear(max(d.gauge.link(n), cmp.Or(d.gauge.fleet.RefusesFrom, 1)), n.size, 1, d.now)
 		return
 	}
 	if o != Errored {
-		d.warmth.doubt(n, d.now)
+		n.doubted = d.now
 	}
 	if n.health.trickle == 0 {
 		d.log("node %s set aside: outcome %d after %v", n.name, o, d.now-s.sent)
 	}
-	goal := d.rungs.tariffs[s.Tariff].GoalTime
-	n.health = health{trickle: 1, until: d.now + pauseLegs*legTime(goal)}
+	n.health = health{1, d.now + pauseLegs*legTime(d.rungs.tariffs[s.Tariff].GoalTime)}
 }
 
 // Warmth: what a node that may have just started can take.
@@ -801,13 +783,9 @@
 	if n.kind < len(w.ramp.Places) {
 		places = w.ramp.Places[n.kind]
 	}
-	fill, lately := w.fill(), 0
+	fill := w.fill()
 	n.sends = recent(n.sends, now-fill)
-	for _, at := range n.sends {
-		if now-at <= w.ramp.TipAfter {
-			lately++
-		}
-	}
+	lately := len(recent(slices.Clone(n.sends), now-w.ramp.TipAfter-1))
 	budget := places * w.ramp.TipAfter.Seconds() / max(fill, time.Millisecond).Seconds()
 	directors := max(1, w.peers.Directors)
 	switch mine := int(budget / float64(directors)); {
@@ -831,20 +809,6 @@
 	n.sends = append(recent(n.sends, now-w.fill()), now)
 }
 
-// answered ends the doubt: the node runs, and is warm a warm-up from now at the latest.
-func (w *warmth) answered(n *node, now time.Duration) {
-	if n.doubted >= 0 {
-		n.doubted, n.warmAt = -1, now+w.ramp.Warmup
-	}
-}
-
-// lived takes the word of a session that plays on: a node with one from before the doubt never died.
-func (w *warmth) lived(n *node, started time.Duration) {
-	if n.doubted >= 0 && started < n.doubted {
-		n.doubted = -1
-	}
-}
-
 // Rations of further legs.
 
 func (r *ration) may(now time.Duration) bool {
--- a/policy/state.go
+++ b/policy/state.go
@@ -187,8 +187,6 @@
 	told      bool    // uplink figures are told here
 }
 
-func (w *warmth) doubt(n *node, now time.Duration) { n.doubted = now }
-
 // settle lets an ended session go once no leg of it is out.
 func (d *Director) settle(i int) {
 	s := &d.sessions[i]
