--- a/policy/policy.go
+++ b/policy/policy.go
@@ -61,7 +61,7 @@
 		rungs:  rungs{ladder, tariffs},
 		gauge: gauge{fleet: fleet, late: tidings.Late, fresh: tidings.Every + 2*tidings.Late,
 			directors: float64(max(1, peers.Directors)), middle: ladder.Rates[len(ladder.Rates)/2],
-			racks: make([]rack, max(1, fleet.Racks)), links: unheard, uplinks: unheard},
+			racks: make([]rack, max(1, fleet.Racks)), links: usual{mean: unheard}, uplinks: usual{mean: unheard}},
 		zone:    peers.Zone,
 		warmth:  warmth{ramp: ramp, peers: peers},
 		ration:  ration{legs: legs},
@@ -393,7 +393,7 @@
 		}
 		link, uplink := d.gauge.counts(n, more*onLink, more*onUplink)
 		if s.phase != playing && d.gauge.fleet.RefusesFrom == 0 { // else a full node says so itself
-			link += (1 - d.gauge.trust(&n.use)) * d.gauge.spread
+			link += (1 - d.gauge.holds(n.use.of)) * d.gauge.spread
 		}
 		use := max(link, uplink)
 		if use <= bar(q, reference)+lean || s.phase == playing && q <= s.rung && use <= keepTo+lean {
@@ -556,15 +556,14 @@
 
 // heard takes a figure of a node's link that tells of a time.
 func (g *gauge) heard(n *node, figure float64, of time.Duration) {
-	others := figure - n.own/n.size
-	g.links += (others - g.links) / recently
-	g.spread += (math.Abs(others-g.links) - g.spread) / recently
+	off := g.links.take(figure-n.own/n.size, recently, g.now)
+	g.spread += (math.Abs(off) - g.spread) / recently
 	n.use.hear(figure, n.size, hearing, of)
 }
 
 func (g *gauge) heardUplink(r int, figure float64, of time.Duration) {
 	g.told = true
-	g.uplinks += (figure - g.racks[r].own/g.fleet.Uplink - g.uplinks) / recently
+	g.uplinks.take(figure-g.racks[r].own/g.fleet.Uplink, recently, g.now)
 	g.racks[r].use.hear(figure, g.fleet.Uplink, hearing, of)
 }
 
@@ -591,20 +590,23 @@
 	return g.figure(&g.racks[r].use, g.fleet.Uplink, g.racks[r].own, g.uplinks)
 }
 
-// trust is how far a figure still holds: it halves in a switching time once the next was due.
-func (g *gauge) trust(m *meter) float64 {
-	if !m.known {
-		return 0
-	}
-	return math.Exp2(-max(0, float64(g.now-m.of-g.fresh)/float64(switchEvery)))
+// holds is how far what was heard at a time still holds: half as far a switching time after more was due.
+func (g *gauge) holds(at time.Duration) float64 {
+	return math.Exp2(-max(0, float64(g.now-at-g.fresh)/float64(switchEvery)))
 }
 
 // figure is the last one heard and what was changed since; as that fades it gives way to what is usual
 // elsewhere and this director's own use as a sample of all directors', weighed by what each can tell.
-// It guards against figures that nothing keeps true, and against one session read as a full link.
-func (g *gauge) figure(m *meter, size, own, usual float64) float64 {
-	share, trust := surely*g.middle, g.trust(m)
-	guess := (share + own) / (share/max(0.01, usual) + size/g.directors)
+// What is usual fades too: it guards against figures that nothing keeps true, be it one of a node that
+// is no longer heard or all of them, and against one session read as a full link.
+func (g *gauge) figure(m *meter, size, own float64, u usual) float64 {
+	usually := unheard + (u.mean-unheard)*g.holds(u.at)
+	share := surely * g.middle
+	guess := (share + own) / (share/max(0.01, usually) + size/g.directors)
+	if !m.known {
+		return guess
+	}
+	trust := g.holds(m.of)
 	return max(0, trust*(m.heard+m.since()/size)+(1-trust)*guess)
 }
 
@@ -696,7 +698,8 @@
 			if i, grown = d.names.enter(x.Node); grown {
 				d.nodes = append(d.nodes, node{})
 			}
-			d.nodes[i] = node{name: x.Node, born: LongAgo, reported: -1, doubted: -1, shortAt: -rescoreEvery}
+			d.nodes[i] = node{name: x.Node, born: LongAgo, reported: -1, doubted: -1, shortAt: -rescoreEvery,
+				use: meter{of: LongAgo / 2}}
 		}
 		n := &d.nodes[i]
 		if x.Born > n.born && known { // what was seen of it before has ended
--- a/policy/state.go
+++ b/policy/state.go
@@ -172,6 +172,19 @@
 	handed bool // sessions were handed over at the start, so the first list came in order with them
 }
 
+// usual is a mean of the last so many figures.
+type usual struct {
+	mean float64
+	at   time.Duration // when the last one came
+}
+
+// take adds a figure and tells how far off the mean it lies.
+func (u *usual) take(figure, last float64, now time.Duration) (off float64) {
+	u.mean += (figure - u.mean) / last
+	u.at = now
+	return figure - u.mean
+}
+
 type gauge struct {
 	fleet     Fleet
 	now       time.Duration
@@ -181,8 +194,8 @@
 	middle    float64 // the middle rung's rate
 	usual     float64 // a stream's usual rate
 	racks     []rack
-	links     float64 // what others ask of links lately, as a part of them
-	uplinks   float64
+	links     usual // what others ask of links lately, as a part of them
+	uplinks   usual
 	spread    float64 // how far figures of links lie from it
 	told      bool    // uplink figures are told here
 }
