--- a/policy/policy.go
+++ b/policy/policy.go
@@ -432,11 +432,8 @@
 }
 
 func (d *Director) rescore(s *session) {
-	past := d.now - s.started
-	if past > 0 {
-		weight := float64(d.now-s.scored) / float64(min(past, meanSpan))
-		s.mean += (float64(s.rung) - s.mean) * min(1, weight)
-	}
+	since := float64(max(1, min(d.now-s.started, meanSpan)))
+	s.mean += (float64(s.rung) - s.mean) * min(1, float64(d.now-s.scored)/since)
 	s.scored = d.now
 	if s.node < 0 || d.now-s.switched < switchEvery {
 		return
@@ -514,8 +511,10 @@
 			default:
 				d.gauge.heard(n, asked, d.now-d.gauge.late)
 			}
-		} else {
+		} else { // the note that ends it: there is room again
 			n.shortAt = -rescoreEvery
+			n.use.hear(min(d.gauge.link(n), raiseTo), n.size, 1, d.now-d.gauge.late)
+			d.gauge.racks[n.rack].use.hear(min(d.gauge.uplink(n.rack), raiseTo), d.gauge.fleet.Uplink, 1, d.now-d.gauge.late)
 		}
 		floor := d.rungs.tariffs[s.Tariff].Floor
 		if e.Value < dropUnder && s.phase == playing && s.rung > floor {
