--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -157,6 +157,129 @@
 	}
 }
 
+// hear gives a director a session on node a at the top rung and a link figure of a at a time.
+func hear(d *Director, id uint64, at time.Duration, figure float64) {
+	d.Step(0, Demand{ID: id, Copies: 3, Top: 2, HardStop: time.Hour, Playing: "a"})
+	d.Step(0, Note{ID: id, Node: "a", Kind: RungNote, Value: 2})
+	d.Step(at, Note{ID: id, Node: "a", Kind: LinkNote, Value: figure})
+}
+
+// Among hundreds of directors one session read as a flooded link and none as an empty one.
+func TestOneSessionIsNoFlood(t *testing.T) {
+	d, _ := still(false, 300)
+	d.Step(0, Demand{ID: 1, Copies: 3, Top: 2, HardStop: time.Hour, Playing: "a"})
+	d.Step(0, Note{ID: 1, Node: "a", Kind: RungNote, Value: 2})
+	if own, none := d.gauge.link(&d.nodes[0]), d.gauge.link(&d.nodes[1]); own <= none || own > 1.2 || none < 0.3 {
+		t.Fatalf("one session reads as %.2f, none as %.2f", own, none)
+	}
+}
+
+// A figure that nothing kept true steered for ever, and so did the mean of all once notes ceased.
+func TestWhatIsHeardFades(t *testing.T) {
+	d, _ := still(false, 300)
+	hear(d, 1, time.Second, 1.4)
+	for range 50 {
+		d.Step(time.Second, Note{ID: 1, Node: "a", Kind: UplinkNote, Value: 1.1})
+	}
+	if out, ok := find[Dispatch](d.Step(2*time.Second, Demand{ID: 2, Copies: 3, HardStop: time.Hour})); ok {
+		t.Fatalf("sent to %s over a full uplink", out.Node)
+	}
+	d.Step(3*time.Second, Result{ID: 1, Node: "a", Outcome: Served, Final: true, Load: NoLoad})
+	if _, ok := find[Dispatch](d.Step(time.Minute, Demand{ID: 3, Copies: 3, HardStop: time.Hour})); !ok {
+		t.Fatal("a minute of silence, and the uplink is still held to be full")
+	}
+}
+
+// All who heard the same figure stepped at once, or counted on all others and never climbed.
+func TestOnlyAPartSteps(t *testing.T) {
+	for figure, up := range map[float64]bool{1.2: false, 0.3: true} {
+		steps := 0
+		for me := range uint64(200) {
+			d, _ := still(false, 200)
+			d.chance = newPCG(me)
+			hear(d, 1, 5*time.Second, figure)
+			if up { // from the lowest rung, with figures to raise it on
+				d.carry(&d.sessions[0], 0)
+				d.sessions[0].mean = 0
+				d.Step(5*time.Second, Note{ID: 1, Node: "a", Kind: LinkNote, Value: figure})
+			}
+			if _, ok := find[Rate](d.Step(7*time.Second, Ring{})); ok {
+				steps++
+			}
+		}
+		if steps < 20 || steps > 180 {
+			t.Fatalf("at %.1f of a link %d of 200 step", figure, steps)
+		}
+	}
+}
+
+// Sessions were set up on links full with sessions at their floor; each cost the others more than it earned.
+func TestFullLinksAreLeftAlone(t *testing.T) {
+	d, _ := still(false, 3)
+	hear(d, 1, time.Second, 1.1)
+	at := slices.IndexFunc(d.nodes, func(n node) bool { return n.name == "a" })
+	if out, ok := find[Dispatch](d.Step(time.Second, Demand{ID: 2, Base: at, Copies: 1, HardStop: time.Hour})); ok {
+		t.Fatalf("sent to %s", out.Node)
+	}
+	if _, ok := find[Nack](d.Step(2*time.Second, Ring{})); !ok {
+		t.Fatal("not answered at its goal time")
+	}
+}
+
+// A node that hung delivered nothing, and its whole rack was held to be short.
+func TestShareNotesTellWhatIsAsked(t *testing.T) {
+	d, _ := still(false, 3)
+	hear(d, 1, time.Second, 0.6)
+	for kind, value := range map[NoteKind]float64{UplinkNote: 0.7, ShareNote: 0.05} {
+		d.Step(time.Second, Note{ID: 1, Node: "a", Kind: kind, Value: value})
+	}
+	d.Step(2*time.Second, Note{ID: 1, Node: "a", Kind: ShareNote, Value: 0.05})
+	if link, uplink := d.gauge.link(&d.nodes[0]), d.gauge.uplink(0); link < 1 || uplink > 0.8 {
+		t.Fatalf("link %.2f, uplink %.2f", link, uplink)
+	}
+	d.Step(3*time.Second, Note{ID: 1, Node: "a", Kind: ShareNote, Value: 1})
+	if link := d.gauge.link(&d.nodes[0]); link > raiseTo {
+		t.Fatalf("short delivery is over, link still at %.2f", link)
+	}
+}
+
+// With more directors than a fall budget has set-ups, one that had just started, or had seen a leg
+// fail, was allowed nothing: it nacked its viewers for a warm-up, and a node once doubted stayed out.
+func TestDoubtLeavesAPace(t *testing.T) {
+	d, _ := still(false, 300)
+	send := func(id uint64, at time.Duration) bool {
+		_, ok := find[Dispatch](d.Step(at, Demand{ID: id, Copies: 1, HardStop: at + time.Hour}))
+		return ok
+	}
+	if !send(1, time.Second) || send(2, time.Second) {
+		t.Fatal("a director that has just started sends each node one set-up in the tipping time")
+	}
+	d.Step(12*time.Second, Result{ID: 1, Node: d.nodes[0].name, Outcome: Reset, Final: true, Load: NoLoad})
+	d.nodes[0].health, d.nodes[0].sends = health{}, nil
+	if !send(3, 20*time.Second) || send(4, 22*time.Second) || !send(5, 26*time.Second) {
+		t.Fatal("one set-up in five seconds (a warm-up over the multiple of the least warmth) was due")
+	}
+}
+
+// Lost answers set all holders aside, and paid sessions had nowhere to go.
+func TestWhereAllAreSuspectNoneIs(t *testing.T) {
+	d, _ := still(true, 300)
+	d.warmth.handed = true
+	for i := range d.nodes {
+		d.nodes[i].health = health{1, time.Hour}
+	}
+	if _, ok := find[Dispatch](d.Step(0, Demand{ID: 1, Copies: 3, HardStop: time.Hour})); !ok {
+		t.Fatal("all three are set aside, and none is tried")
+	}
+	d.nodes[1].health = health{}
+	for id := uint64(2); id < 5; id++ {
+		out, _ := find[Dispatch](d.Step(0, Demand{ID: id, Copies: 3, HardStop: time.Hour}))
+		if out.Node != "" && out.Node != d.nodes[1].name {
+			t.Fatalf("one of three is well, and %s is tried", out.Node)
+		}
+	}
+}
+
 func TestRulesHold(t *testing.T) { rapid.Check(t, func(t *rapid.T) { newWorld(t).run() }) }
 
 func TestDoorGivesIndicesBack(t *testing.T) {
--- a/policy/world_test.go
+++ b/policy/world_test.go
@@ -21,6 +21,7 @@
 	gone      map[string]bool // draining or removed by the list
 	directors []*post
 	sends     map[string][]time.Duration // all directors'
+	slow      string                     // a node that answers no leg before it is overdue
 	nextID    uint64
 	births    map[string]time.Duration // by the world's clock, of nodes that started in sight
 	rungs     int
@@ -74,7 +75,7 @@
 	for i := range cells {
 		w.list = append(w.list, Entry{Node: fmt.Sprint("n", i), Born: LongAgo, Weight: 1, Cell: i})
 	}
-	for range rapid.IntRange(1, 3).Draw(t, "directors") {
+	for range pick(t, "directors", 1, 2, 3, 3, 40) { // 40: far more than a fall budget has set-ups
 		w.directors = append(w.directors, nil)
 	}
 	for i := range w.directors {
@@ -211,12 +212,18 @@
 			for range rapid.IntRange(1, 6).Draw(w.T, "crowd") {
 				w.demand(p)
 			}
+			for _, p := range w.directors[:pick(w.T, "wave", 0, 0, len(w.directors))] {
+				w.demand(p)
+			}
 		case 1:
 			w.outcome(p)
 		case 2:
 			w.note(p)
 		case 3:
-			w.relist()
+			for range rapid.IntRange(1, 3).Draw(w.T, "nodes") {
+				w.relist()
+			}
+			w.slow = pick(w.T, "slow", "", w.list[0].Node)
 		case 4:
 			if rapid.IntRange(0, 9).Draw(w.T, "restart") == 0 {
 				w.start(i)
@@ -272,7 +279,7 @@
 func (w *world) outcome(p *post) {
 	for _, id := range slices.Clone(p.order) {
 		o := p.open[id]
-		if o == nil || o.node == "" {
+		if o == nil || o.node == "" || o.node == w.slow && !o.plays {
 			continue
 		}
 		switch kind := rapid.IntRange(0, 11).Draw(w.T, "outcome"); {
