Unheard links count as 0.65 full, and as lying far apart, before any figure

Before any figure, and where all have faded, links count as 0.65 full (0.5 before) and, where nodes take all, as lying half of that apart.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -61,7 +61,8 @@
 		rungs:  rungs{ladder, tariffs},
 		gauge: gauge{fleet: fleet, late: tidings.Late, fresh: tidings.Every + 2*tidings.Late,
 			directors: float64(max(1, peers.Directors)), middle: ladder.Rates[len(ladder.Rates)/2],
-			racks: make([]rack, max(1, fleet.Racks)), links: usual{mean: unheard}, uplinks: usual{mean: unheard}},
+			racks: make([]rack, max(1, fleet.Racks)), links: usual{mean: unheard}, uplinks: usual{mean: unheard},
+			spread: unheard / 2},
 		zone:    peers.Zone,
 		warmth:  warmth{ramp: ramp, peers: peers},
 		ration:  ration{legs: legs},
@@ -503,18 +504,16 @@
 		if e.Value < shortUnder {
 			n.shortAt = d.now
 			link, uplink := d.gauge.counts(n, 0, 0)
-			asked := 1 / max(e.Value, 0.1)
-			switch {
-			case !d.gauge.told:
-			case uplink > link && uplink > raiseTo:
+			if asked := 1 / max(e.Value, 0.1); d.gauge.told && uplink > link && uplink > raiseTo {
 				d.gauge.heardUplink(n.rack, min(asked, 1/dropUnder), d.now-d.gauge.late)
-			default:
+			} else if d.gauge.told {
 				d.gauge.heard(n, asked, d.now-d.gauge.late)
 			}
 		} else { // the note that ends it: there is room again
 			n.shortAt = -rescoreEvery
-			n.use.hear(min(d.gauge.link(n), raiseTo), n.size, 1, d.now-d.gauge.late)
-			d.gauge.racks[n.rack].use.hear(min(d.gauge.uplink(n.rack), raiseTo), d.gauge.fleet.Uplink, 1, d.now-d.gauge.late)
+			r, of := &d.gauge.racks[n.rack], d.now-d.gauge.late
+			n.use.hear(min(d.gauge.link(n), raiseTo), n.size, 1, of)
+			r.use.hear(min(d.gauge.uplink(n.rack), raiseTo), d.gauge.fleet.Uplink, 1, of)
 		}
 		floor := d.rungs.tariffs[s.Tariff].Floor
 		if e.Value < dropUnder && s.phase == playing && s.rung > floor {
@@ -542,7 +541,7 @@
 // unheard is what link and uplink use are held to be before any figure has come; surely tells how
 // many sessions of its own a director must see on a link to believe them as much as what is usual.
 const (
-	unheard  = 0.5
+	unheard  = 0.65
 	surely   = 2
 	recently = 8 // figures that make up what is usual
 )
