--- a/policy/policy.go
+++ b/policy/policy.go
@@ -440,7 +440,7 @@
 		return
 	}
 	n := &d.nodes[s.node]
-	if !n.use.known {
+	if !n.use.known && !d.gauge.racks[n.rack].use.known {
 		return // nothing heard of the node yet: no ground for a change
 	}
 	reference := d.rungs.reference(s, n.fair)
@@ -569,12 +569,12 @@
 // hear the same figure and act on it alike, each on its part of what is asked.
 func (g *gauge) echoes(n *node) (link, uplink float64) {
 	echo := func(asked, own float64) float64 {
-		if !n.use.known || own <= 0 {
+		if own <= 0 {
 			return 1
 		}
 		return min(max(1, asked/own), 2*g.directors)
 	}
-	return echo(n.use.heard*n.size, n.own), echo(g.uplink(n.rack)*g.fleet.Uplink, g.racks[n.rack].own)
+	return echo(g.link(n)*n.size, n.own), echo(g.uplink(n.rack)*g.fleet.Uplink, g.racks[n.rack].own)
 }
 
 // link is the part of a node's link that is asked.
