A rung off the ladder is taken for the ladder's end; comments true of the code

A rung note past the ladder ended the director with an index out of range; found by reading, now clamped, with a test.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -24,7 +24,7 @@
 	spareTo        = 0.75 // a higher one up to here
 	downTo         = 0.85 // what is over full is stepped down to here
 	keepTo         = 1.0  // and a rung in force is kept up to here;
-	creditLean     = 0.1  // the tariffs of most and least credit lie this far apart in all three
+	creditLean     = 0.1  // the tariffs of most and least credit lie this far apart in all four
 	dropUnder      = 0.75 // share delivered
 	shortUnder     = 0.98 // share delivered
 	hearing        = 0.8  // part of a figure's surprise that is believed: figures are noisy
@@ -56,7 +56,7 @@
 // New starts a director.
 func New(seed uint64, peers Peers, tariffs []Tariff, ladder Ladder, fleet Fleet, ramp Ramp,
 	legs Legs, tidings Tidings) *Director {
-	d := &Director{
+	return &Director{
 		chance: newPCG(seed),
 		rungs:  rungs{ladder, tariffs},
 		gauge: gauge{fleet: fleet, late: tidings.Late, fresh: tidings.Every + 2*tidings.Late,
@@ -70,7 +70,6 @@
 		ids:     newDoor[uint64](),
 		names:   newDoor[string](),
 	}
-	return d
 }
 
 // Step takes what happened at a time and returns what is to be done.
@@ -497,7 +496,7 @@
 	}
 	switch e.Kind {
 	case RungNote:
-		d.carry(s, int(e.Value))
+		d.carry(s, max(0, min(int(e.Value), len(d.rungs.ladder.Rates)-1))) // off the ladder: its end
 		s.mean = float64(s.rung)
 	case ShareNote:
 		if e.Value < shortUnder {
@@ -537,8 +536,9 @@
 
 // Gauge: what is asked of links and uplinks, by this director's own count.
 
-// unheard is what link and uplink use are held to be before any figure has come; surely tells how
-// many sessions of its own a director must see on a link to believe them as much as what is usual.
+// unheard is what link and uplink use are held to be before any figure has come and once all have
+// faded; surely tells how many of its own sessions a director must see on a link to believe them as
+// much as what is usual.
 const (
 	unheard  = 0.65
 	surely   = 2
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -280,6 +280,19 @@
 	}
 }
 
+// A rung off the ladder, and news of a node or session never heard of, did harm.
+func TestOddNotesDoNoHarm(t *testing.T) {
+	d, _ := still(false, 3)
+	hear(d, 1, time.Second, 0.5)
+	for _, e := range []Event{Note{ID: 1, Node: "a", Kind: RungNote, Value: 99}, Note{ID: 1, Node: "a", Kind: RungNote, Value: -3},
+		Note{ID: 1, Node: "x", Kind: LinkNote, Value: 1}, Note{ID: 7, Node: "a", Kind: ShareNote}, Accepted{7}, Gone{7}} {
+		d.Step(time.Second, e)
+	}
+	if s := d.sessions[0]; s.rung != 0 || d.nodes[s.node].own != d.rungs.rate(&s, 0) {
+		t.Fatalf("rung %d, %v booked", s.rung, d.nodes[s.node].own)
+	}
+}
+
 func TestRulesHold(t *testing.T) { rapid.Check(t, func(t *rapid.T) { newWorld(t).run() }) }
 
 func TestDoorGivesIndicesBack(t *testing.T) {
