--- a/policy/policy.go
+++ b/policy/policy.go
@@ -410,8 +410,8 @@
 	return raiseTo
 }
 
-// part is the part of those who heard the same figures that must step as this session would to
-// bring link and uplink to their bar. It guards against all of them stepping at once.
+// part is the part of those who heard the same figures that must step as this session would to bring
+// link and uplink up to their bar, or down to downTo. It guards against all of them stepping at once.
 func (d *Director) part(s *session, n *node, rung int, reference float64) float64 {
 	onLink, onUplink := d.gauge.echoes(n)
 	link, uplink := d.gauge.counts(n, 0, 0)
@@ -766,9 +766,9 @@
 // may keeps all directors together under the fall budget of a node that may be cold. A node that the
 // list tells to have started is cold to all of them: each has its whole part of the budget, and where
 // that is under one set-up, one director, told by the node's name, has all of it. A failure that this
-// director has seen was seen by no more directors than the node has places; with one set-up each in
-// the time that the budget takes to fill the places they stay within it. One that has just started
-// itself, and can't know which nodes its predecessor saw fail, sends each its part, or one at a time.
+// director has seen was seen by no more directors than the node has places; with one set-up each in the
+// time that the budget takes to fill the places they stay within it on average, not at every moment. One
+// that has just started, and can't know which nodes its predecessor saw fail, sends its part, or one.
 func (w *warmth) may(n *node, now time.Duration) bool {
 	told := n.born != LongAgo && now < n.born+w.ramp.Warmup
 	seen := n.doubted >= 0 || now < n.warmAt
