--- /dev/null
+++ b/internal/transport/transport.go
@@ -0,0 +1,620 @@
+// Package transport carries wire messages over WebSocket (RFC 6455) on netpoll: players', nodes' and the
+// list's connections alike, each with its own sub-protocol. It knows frames, sizes and queues, not what a
+// message means.
+//
+// A connection costs no goroutine while nothing moves on it. What comes in is handed to the Handler on
+// netpoll's workers, one call at a time for each connection; Send may be called by any goroutine and never
+// blocks. Every queue is bounded: a peer that does not read is cut off once its queue is full or a write
+// has stood still for the write time-out, and a peer that sends a larger message than it may, or breaks the
+// protocol, is closed with the code that says so.
+package transport
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+	"github.com/gobwas/ws"
+)
+
+// A Handler takes what happens on connections. For one connection its calls come one after another,
+// Opened first and Closed last; for different connections they come from different goroutines.
+type Handler interface {
+	// Opened says that the handshake is done.
+	Opened(c *Conn)
+	// Message hands over a message; the bytes are the handler's to keep.
+	Message(c *Conn, message []byte)
+	// Closed says that the connection has ended and why. Unsent names the tags of messages of which
+	// not one byte was handed to the kernel. Opened may never have been called.
+	Closed(c *Conn, why error, unsent []uint64)
+}
+
+// Bounds are the limits of a connection.
+type Bounds struct {
+	Message   int           // bytes of a message that is read, fragments together
+	Queue     int           // bytes of messages that wait to be written
+	Write     time.Duration // longest that a write may stand still
+	Handshake time.Duration // longest that a handshake may take
+}
+
+// headMost is the largest HTTP head of a handshake; burstMost is how much a peer may have sent beyond one
+// message before any of it was looked at.
+const (
+	headMost  = 4 << 10
+	burstMost = 1 << 20
+)
+
+// The reasons for which connections end, counted by the caller with Cause.
+var (
+	ErrSlow      = errors.New("peer does not read")
+	ErrTooLarge  = errors.New("message too large")
+	ErrProtocol  = errors.New("protocol broken")
+	ErrHandshake = errors.New("handshake failed")
+	ErrPeer      = errors.New("closed by peer")
+	ErrClosed    = errors.New("closed here")
+)
+
+// Cause is a short word for a closing error, for logs and metrics.
+func Cause(err error) string {
+	for _, c := range []struct {
+		err  error
+		word string
+	}{{ErrSlow, "slow"}, {ErrTooLarge, "too_large"}, {ErrProtocol, "protocol"}, {ErrHandshake, "handshake"},
+		{ErrPeer, "peer"}, {ErrClosed, "here"}} {
+		if errors.Is(err, c.err) {
+			return c.word
+		}
+	}
+	return "lost"
+}
+
+// Conn is a WebSocket connection.
+type Conn struct {
+	np      netpoll.Connection
+	handler Handler
+	bounds  Bounds
+	client  bool // this side dialled: it masks, its peer does not
+	server  *Server
+	cookie  atomic.Value // the handler's own
+
+	// Only the reading worker touches these.
+	open     bool
+	partial  []byte // an incomplete head or frame; nil while idle
+	message  []byte // fragments so far
+	fragment ws.OpCode
+	half     bool
+
+	once    sync.Once
+	mu      sync.Mutex
+	shook   bool // the handshake is done
+	queue   []frame
+	queued  int
+	writing bool
+	why     error // set once the connection is to end
+	last    bool  // nothing more goes out but the close frame that is queued
+	heard   atomic.Int64
+}
+
+type frame struct {
+	tag  uint64
+	body []byte
+}
+
+// Cookie is what SetCookie stored, nil before that.
+func (c *Conn) Cookie() any { return c.cookie.Load() }
+
+// SetCookie stores the handler's own record of the connection; always of the same type.
+func (c *Conn) SetCookie(cookie any) { c.cookie.Store(cookie) }
+
+// Peer is the other side's address.
+func (c *Conn) Peer() net.Addr { return c.np.RemoteAddr() }
+
+// Heard is when anything last came from the peer, in nanoseconds of the Unix clock.
+func (c *Conn) Heard() time.Time { return time.Unix(0, c.heard.Load()) }
+
+// Send queues a message; a tag other than 0 lets Withdraw and Closed name it. It says false where the
+// connection has ended or its queue is full, in which case the connection is ended.
+func (c *Conn) Send(message []byte, tag uint64) bool { return c.send(ws.OpText, message, tag) }
+
+// Ping queues a ping.
+func (c *Conn) Ping() bool { return c.send(ws.OpPing, nil, 0) }
+
+func (c *Conn) send(op ws.OpCode, payload []byte, tag uint64) bool {
+	f := ws.NewFrame(op, true, payload)
+	if c.client {
+		f = ws.MaskFrame(f)
+	}
+	body, err := ws.CompileFrame(f)
+	if err != nil {
+		return false
+	}
+	return c.enqueue(body, tag, op == ws.OpClose)
+}
+
+func (c *Conn) enqueue(body []byte, tag uint64, last bool) bool {
+	c.mu.Lock()
+	if c.why != nil && !last || c.last {
+		c.mu.Unlock()
+		return false
+	}
+	if c.queued+len(body) > c.bounds.Queue && !last {
+		c.mu.Unlock()
+		c.fail(fmt.Errorf("%w: %d bytes wait", ErrSlow, c.queued))
+		return false
+	}
+	c.queue = append(c.queue, frame{tag, body})
+	c.queued += len(body)
+	c.last = c.last || last
+	start := !c.writing
+	c.writing = true
+	c.mu.Unlock()
+	if start {
+		go c.write()
+	}
+	return true
+}
+
+// Withdraw takes a tagged message out of the queue. It says true if not one byte of it was handed to
+// the kernel, and none ever will be.
+func (c *Conn) Withdraw(tag uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i, f := range c.queue {
+		if f.tag == tag {
+			c.queued -= len(f.body)
+			c.queue = append(c.queue[:i], c.queue[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// batchMost is how many bytes are handed to the kernel at once: what waits behind them can still be
+// withdrawn.
+const batchMost = 16 << 10
+
+// write hands queued frames to the kernel until none is left. One runs at a time for each connection.
+func (c *Conn) write() {
+	for {
+		c.mu.Lock()
+		if len(c.queue) == 0 {
+			c.writing = false
+			c.queue = nil
+			last, why := c.last, c.why
+			c.mu.Unlock()
+			if last && why != nil {
+				c.np.Close()
+			}
+			return
+		}
+		take, size := 0, 0
+		for take < len(c.queue) && (take == 0 || size+len(c.queue[take].body) <= batchMost) {
+			size += len(c.queue[take].body)
+			take++
+		}
+		w := c.np.Writer()
+		out, err := w.Malloc(size)
+		if err == nil {
+			at := 0
+			for _, f := range c.queue[:take] {
+				at += copy(out[at:], f.body)
+			}
+			c.queue = c.queue[take:]
+			c.queued -= size
+		}
+		c.mu.Unlock()
+		if err == nil {
+			err = w.Flush()
+		}
+		if err != nil {
+			if errors.Is(err, netpoll.ErrWriteTimeout) {
+				err = fmt.Errorf("%w: a write stood still for %v", ErrSlow, c.bounds.Write)
+			}
+			c.fail(err)
+			c.mu.Lock()
+			c.writing = false
+			c.mu.Unlock()
+			return
+		}
+	}
+}
+
+// Close ends the connection after what is queued and a close frame have gone out.
+func (c *Conn) Close(code ws.StatusCode, reason string) {
+	c.end(fmt.Errorf("%w: %s", ErrClosed, reason), code, reason)
+}
+
+func (c *Conn) end(why error, code ws.StatusCode, reason string) {
+	c.mu.Lock()
+	if c.why != nil {
+		c.mu.Unlock()
+		return
+	}
+	c.why = why
+	shook := c.shook
+	c.mu.Unlock()
+	if !shook {
+		c.np.Close()
+		return
+	}
+	if len(reason) > 120 {
+		reason = reason[:120]
+	}
+	c.send(ws.OpClose, ws.NewCloseFrameBody(code, reason), 0)
+}
+
+// Cut ends the connection at once; what is queued is dropped.
+func (c *Conn) Cut() { c.fail(ErrClosed) }
+
+// Reset ends the connection at once so that the peer sees a reset.
+func (c *Conn) Reset() {
+	if f, ok := c.np.(netpoll.Conn); ok {
+		setLinger(f.Fd())
+	}
+	c.fail(ErrClosed)
+}
+
+func (c *Conn) fail(why error) {
+	c.mu.Lock()
+	if c.why == nil {
+		c.why = why
+	}
+	c.mu.Unlock()
+	c.np.Close()
+}
+
+func (c *Conn) closed(netpoll.Connection) error {
+	c.once.Do(c.settle)
+	return nil
+}
+
+func (c *Conn) settle() {
+	if c.server != nil {
+		c.server.forget(c)
+	}
+	c.mu.Lock()
+	why := c.why
+	if why == nil {
+		why = fmt.Errorf("connection lost")
+		c.why = why
+	}
+	var unsent []uint64
+	for _, f := range c.queue {
+		if f.tag != 0 {
+			unsent = append(unsent, f.tag)
+		}
+	}
+	c.queue, c.queued, c.last = nil, 0, true
+	c.mu.Unlock()
+	c.handler.Closed(c, why, unsent)
+}
+
+// read takes all that has come: netpoll calls it again and again while anything is left.
+func (c *Conn) read(_ context.Context, np netpoll.Connection) error {
+	r := np.Reader()
+	n := r.Len()
+	if n == 0 {
+		return nil
+	}
+	if n > burstMost+c.bounds.Message {
+		c.end(fmt.Errorf("%w: %d bytes at once", ErrTooLarge, n), ws.StatusPolicyViolation, "too much at once")
+	}
+	in, err := r.Next(n)
+	if err != nil {
+		return err
+	}
+	c.heard.Store(time.Now().UnixNano())
+	if len(c.partial) > 0 {
+		c.partial = append(c.partial, in...)
+		in = c.partial
+	}
+	c.keep(in, c.consume(in))
+	return r.Release()
+}
+
+// keep holds on to the incomplete rest of what has come.
+func (c *Conn) keep(in, rest []byte) {
+	switch {
+	case len(rest) == 0:
+		c.partial = nil
+	case len(rest) < len(in) || len(c.partial) == 0:
+		c.partial = bytes.Clone(rest)
+	}
+}
+
+// consume works through what has come and returns the incomplete rest.
+func (c *Conn) consume(in []byte) []byte {
+	if !c.open {
+		end := bytes.Index(in, []byte("\r\n\r\n"))
+		if end < 0 {
+			if len(in) > headMost {
+				c.turnAway(fmt.Errorf("head over %d bytes", headMost))
+				return nil
+			}
+			return in
+		}
+		if !c.upgrade(in[:end+4]) {
+			return nil
+		}
+		in = in[end+4:]
+	}
+	for len(in) > 0 {
+		c.mu.Lock()
+		ended := c.why != nil
+		c.mu.Unlock()
+		if ended {
+			return nil
+		}
+		h, size, ok := header(in)
+		if !ok {
+			return in
+		}
+		state := ws.StateServerSide
+		if c.client {
+			state = ws.StateClientSide
+		}
+		if c.half {
+			state = state.Set(ws.StateFragmented)
+		}
+		if err := ws.CheckHeader(h, state); err != nil {
+			c.end(fmt.Errorf("%w: %v", ErrProtocol, err), ws.StatusProtocolError, err.Error())
+			return nil
+		}
+		if h.Length > int64(c.bounds.Message) || len(c.message)+int(h.Length) > c.bounds.Message {
+			c.end(fmt.Errorf("%w: over %d bytes", ErrTooLarge, c.bounds.Message), ws.StatusMessageTooBig,
+				fmt.Sprintf("over %d bytes", c.bounds.Message))
+			return nil
+		}
+		if len(in) < size+int(h.Length) {
+			return in
+		}
+		payload := bytes.Clone(in[size : size+int(h.Length)])
+		in = in[size+int(h.Length):]
+		if h.Masked {
+			ws.Cipher(payload, h.Mask, 0)
+		}
+		c.take(h, payload)
+	}
+	return nil
+}
+
+// header reads a frame's header; it says false where it is not complete.
+func header(in []byte) (h ws.Header, size int, ok bool) {
+	r := bytes.NewReader(in)
+	h, err := ws.ReadHeader(r)
+	if err != nil {
+		// A length with its highest bit set is the one thing refused here; it reads as over any bound.
+		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+			return h, 0, false
+		}
+		return ws.Header{Fin: true, OpCode: ws.OpText, Masked: true, Length: 1 << 62}, 0, true
+	}
+	return h, len(in) - r.Len(), true
+}
+
+func (c *Conn) take(h ws.Header, payload []byte) {
+	switch h.OpCode {
+	case ws.OpPing:
+		if c.server == nil || !c.server.silent.Load() {
+			c.send(ws.OpPong, payload, 0)
+		}
+	case ws.OpPong:
+	case ws.OpClose:
+		code, reason := ws.ParseCloseFrameData(payload)
+		c.end(fmt.Errorf("%w: %d %s", ErrPeer, code, reason), ws.StatusNormalClosure, "")
+	case ws.OpBinary:
+		c.end(fmt.Errorf("%w: binary message", ErrProtocol), ws.StatusUnsupportedData, "text messages only")
+	default:
+		if !h.Fin {
+			c.half = true
+			c.message = append(c.message, payload...)
+			return
+		}
+		if c.half {
+			payload, c.message, c.half = append(c.message, payload...), nil, false
+		}
+		c.handler.Message(c, payload)
+	}
+}
+
+// both reads from one side and writes to the other: a handshake in memory.
+type both struct {
+	io.Reader
+	io.Writer
+}
+
+func (c *Conn) turnAway(why error) {
+	c.fail(fmt.Errorf("%w: %v", ErrHandshake, why))
+}
+
+// upgrade answers a handshake, or checks the answer to ours.
+func (c *Conn) upgrade(head []byte) bool {
+	if c.client {
+		return false // a client upgrades before it reads
+	}
+	if c.server.silent.Load() {
+		return false
+	}
+	var out bytes.Buffer
+	up := ws.Upgrader{
+		Protocol: func(p []byte) bool { return string(p) == c.server.protocol },
+	}
+	hs, err := up.Upgrade(both{bytes.NewReader(head), &out})
+	if err == nil && hs.Protocol != c.server.protocol {
+		err = fmt.Errorf("no sub-protocol %s offered", c.server.protocol)
+		out.Reset()
+	}
+	if err != nil && out.Len() == 0 {
+		fmt.Fprintf(&out, "HTTP/1.1 %d %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
+			http.StatusBadRequest, http.StatusText(http.StatusBadRequest))
+	}
+	if err != nil {
+		c.mu.Lock()
+		c.why = fmt.Errorf("%w: %v", ErrHandshake, err)
+		c.mu.Unlock()
+		c.enqueue(out.Bytes(), 0, true)
+		return false
+	}
+	c.open = true
+	c.mu.Lock()
+	c.shook = true
+	c.mu.Unlock()
+	c.enqueue(out.Bytes(), 0, false)
+	c.handler.Opened(c)
+	return true
+}
+
+// Server accepts WebSocket connections of one sub-protocol.
+type Server struct {
+	protocol string
+	bounds   Bounds
+	handler  Handler
+	listener net.Listener
+	loop     netpoll.EventLoop
+	silent   atomic.Bool
+	refusing atomic.Bool
+	mu       sync.Mutex
+	conns    map[*Conn]bool // emptied as connections close
+}
+
+// Serve listens at an address and hands connections to the handler until Close.
+func Serve(address, protocol string, bounds Bounds, handler Handler) (*Server, error) {
+	ln, err := netpoll.CreateListener("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen at %s: %w", address, err)
+	}
+	s := &Server{protocol: protocol, bounds: bounds, handler: handler, listener: ln, conns: map[*Conn]bool{}}
+	type key struct{}
+	s.loop, err = netpoll.NewEventLoop(
+		func(ctx context.Context, np netpoll.Connection) error { return ctx.Value(key{}).(*Conn).read(ctx, np) },
+		netpoll.WithOnPrepare(func(np netpoll.Connection) context.Context {
+			c := &Conn{np: np, handler: handler, bounds: bounds, server: s}
+			if s.refusing.Load() {
+				c.server = nil
+				if f, ok := np.(netpoll.Conn); ok {
+					setLinger(f.Fd())
+				}
+				np.Close()
+				return context.Background()
+			}
+			np.SetWriteTimeout(bounds.Write)
+			np.AddCloseCallback(c.closed)
+			s.mu.Lock()
+			s.conns[c] = true
+			s.mu.Unlock()
+			if bounds.Handshake > 0 {
+				time.AfterFunc(bounds.Handshake, func() { s.expire(c) })
+			}
+			return context.WithValue(context.Background(), key{}, c)
+		}))
+	if err != nil {
+		ln.Close()
+		return nil, err
+	}
+	go s.loop.Serve(ln)
+	return s, nil
+}
+
+// Address is where the server listens.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Silent makes the server take bytes and answer nothing of itself (handshakes, pings): half-open, as
+// seen from the other side.
+func (s *Server) Silent(on bool) { s.silent.Store(on) }
+
+// Refusing makes the server reset whoever connects, as a machine does on which nothing listens.
+func (s *Server) Refusing(on bool) { s.refusing.Store(on) }
+
+// Each calls f for every connection.
+func (s *Server) Each(f func(*Conn)) {
+	s.mu.Lock()
+	all := make([]*Conn, 0, len(s.conns))
+	for c := range s.conns {
+		all = append(all, c)
+	}
+	s.mu.Unlock()
+	for _, c := range all {
+		f(c)
+	}
+}
+
+// Close stops listening and cuts every connection.
+func (s *Server) Close() {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+	defer cancel()
+	s.Each((*Conn).Cut)
+	s.loop.Shutdown(ctx)
+	s.Each((*Conn).Cut)
+}
+
+func (s *Server) forget(c *Conn) {
+	s.mu.Lock()
+	delete(s.conns, c)
+	s.mu.Unlock()
+}
+
+// expire ends a connection whose handshake took too long.
+func (s *Server) expire(c *Conn) {
+	c.mu.Lock()
+	shook := c.shook
+	c.mu.Unlock()
+	if !shook {
+		c.turnAway(fmt.Errorf("not done within %v", s.bounds.Handshake))
+	}
+}
+
+// Dial connects to a server and returns once the handshake is done or the time is up. The handler's
+// Opened has been called when it returns without an error; without one nothing of it is ever called.
+func Dial(address, protocol string, within time.Duration, bounds Bounds, handler Handler, cookie any) (*Conn, error) {
+	began := time.Now()
+	np, err := netpoll.DialConnection("tcp", address, within)
+	if err != nil {
+		return nil, fmt.Errorf("connect to %s: %w", address, err)
+	}
+	np.SetReadTimeout(max(time.Millisecond, within-time.Since(began)))
+	d := ws.Dialer{Protocols: []string{protocol}}
+	br, hs, err := d.Upgrade(np, &url.URL{Scheme: "ws", Host: address, Path: "/"})
+	if err == nil && hs.Protocol != protocol {
+		err = fmt.Errorf("sub-protocol %s not agreed", protocol)
+	}
+	if err != nil {
+		np.Close()
+		return nil, fmt.Errorf("connect to %s: %w: %v", address, ErrHandshake, err)
+	}
+	np.SetReadTimeout(0)
+	np.SetWriteTimeout(bounds.Write)
+	c := &Conn{np: np, handler: handler, bounds: bounds, client: true, open: true, shook: true}
+	c.heard.Store(time.Now().UnixNano())
+	if cookie != nil {
+		c.SetCookie(cookie)
+	}
+	if br != nil {
+		c.partial = leftover(br)
+		ws.PutReader(br)
+	}
+	handler.Opened(c)
+	np.AddCloseCallback(c.closed)
+	in := c.partial
+	c.keep(in, c.consume(in))
+	np.SetOnRequest(c.read)
+	if !np.IsActive() { // it ended before the callback was there
+		c.closed(np)
+	}
+	return c, nil
+}
+
+// leftover is what a handshake's reader has read past its end.
+func leftover(br *bufio.Reader) []byte {
+	rest, _ := br.Peek(br.Buffered())
+	return bytes.Clone(rest)
+}
