--- /dev/null
+++ b/cmd/fordusher/day.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fordusher/internal/day"
+	"fordusher/internal/witness"
+)
+
+type dayCommand struct {
+	Script    string `help:"The day's script; without it the bad day that ships with the program." type:"path"`
+	Requests  int    `help:"Viewers who come, over what the script says."`
+	Directors int    `help:"Directors, over what the script says."`
+	Nodes     int    `help:"Nodes, over what the script says."`
+	Seed      uint64 `help:"What chance is drawn from." default:"1"`
+	JSON      bool   `help:"Print one object as the last line."`
+	Record    string `help:"Keep the witness record in this file; fordusher verify checks it again." type:"path"`
+	Logs      bool   `help:"Show the directors' log."`
+}
+
+func (c *dayCommand) Run() error {
+	s := day.Default()
+	if c.Script != "" {
+		var err error
+		if s, err = day.Load(c.Script); err != nil {
+			return err
+		}
+	}
+	if c.Requests > 0 {
+		// The same crowd for longer, rather than a larger one, as far as an hour goes.
+		s.Requests = c.Requests
+	}
+	if c.Directors > 0 {
+		s.Directors = c.Directors
+	}
+	if c.Nodes > 0 {
+		s.Nodes = c.Nodes
+		s.Racks = min(s.Racks, s.Nodes)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	log := zerolog.Nop()
+	if c.Logs {
+		log = logger()
+	}
+	r, err := day.Run(ctx, s, day.Options{Seed: c.Seed, Log: log, Progress: func(line string) { fmt.Fprintln(os.Stderr, line) }})
+	if err != nil {
+		return err
+	}
+	if c.Record != "" {
+		if err := witness.Save(c.Record, r.Terms, r.Records); err != nil {
+			return err
+		}
+	}
+	return report(r, c.JSON)
+}
+
+func report(r *day.Result, asJSON bool) error {
+	r.Print(os.Stdout)
+	if asJSON {
+		line, err := json.Marshal(r)
+		if err != nil {
+			return err
+		}
+		fmt.Println(string(line))
+	}
+	if !r.Kept() {
+		return errBroken
+	}
+	return nil
+}
+
+func logger() zerolog.Logger {
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+	return zerolog.New(os.Stderr).With().Timestamp().Logger()
+}
--- /dev/null
+++ b/cmd/fordusher/main.go
@@ -0,0 +1,54 @@
+// Command fordusher is the session front and the tools around it.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+
+	"fordusher/internal/conf"
+)
+
+// What each exit code means, for scripts.
+const (
+	exitBroken = 1 // a rule was broken, or something failed
+	exitInput  = 2 // the input is wrong: command line, configuration, script
+)
+
+var errBroken = errors.New("a rule was broken")
+
+type commands struct {
+	Day   dayCommand   `cmd:"" help:"Run a scripted bad day on loopback and check the six rules from what crossed the sockets."`
+	Serve serveCommand `cmd:"" help:"Run one director."`
+	Check checkCommand `cmd:"" help:"Check a director's file."`
+}
+
+func main() {
+	var c commands
+	ctx := kong.Parse(&c, kong.Name("fordusher"), kong.Description("A session front: places and shapes video sessions on streaming servers."),
+		kong.UsageOnError(), kong.Exit(func(code int) {
+			if code != 0 {
+				code = exitInput
+			}
+			os.Exit(code)
+		}))
+	err := ctx.Run()
+	if err == nil {
+		return
+	}
+	var problems conf.Problems
+	switch {
+	case errors.Is(err, errBroken):
+		os.Exit(exitBroken)
+	case errors.As(err, &problems):
+		fmt.Fprintln(os.Stderr, problems)
+		os.Exit(exitInput)
+	case errors.Is(err, os.ErrNotExist), errors.Is(err, os.ErrPermission):
+		fmt.Fprintln(os.Stderr, "fordusher:", err)
+		os.Exit(exitInput)
+	}
+	fmt.Fprintln(os.Stderr, "fordusher:", err)
+	os.Exit(exitBroken)
+}
--- /dev/null
+++ b/cmd/fordusher/serve.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"fordusher/internal/conf"
+	"fordusher/internal/daemon"
+)
+
+type serveCommand struct {
+	Conf string `help:"The director's file." required:"" type:"path"`
+	Seed uint64 `help:"What chance is drawn from; without it, the machine's own."`
+	Boot string `help:"A word that no other run of this director has used; without it, the time."`
+}
+
+// ready is printed once players can connect: one JSON object on a line of standard output.
+type ready struct {
+	Listen  string `json:"listen"`
+	Metrics string `json:"metrics,omitempty"`
+}
+
+func (c *serveCommand) Run() error {
+	house, err := conf.Load(c.Conf)
+	if err != nil {
+		return err
+	}
+	if c.Seed == 0 {
+		var b [8]byte
+		rand.Read(b[:])
+		c.Seed = binary.LittleEndian.Uint64(b[:])
+	}
+	if c.Boot == "" {
+		c.Boot = strconv.FormatInt(time.Now().UnixMilli(), 36)
+	}
+	d, err := daemon.Start(house, c.Boot, c.Seed, house.Module(c.Seed), logger())
+	if err != nil {
+		return err
+	}
+	told := ready{Listen: d.Address()}
+	if house.Metrics != "" {
+		ln, err := net.Listen("tcp", house.Metrics)
+		if err != nil {
+			d.Kill()
+			return fmt.Errorf("metrics at %s: %w", house.Metrics, err)
+		}
+		reg := prometheus.NewRegistry()
+		reg.MustRegister(d, prometheus.NewGoCollector())
+		server := &http.Server{Handler: promhttp.HandlerFor(reg, promhttp.HandlerOpts{}), ReadHeaderTimeout: 5 * time.Second}
+		go server.Serve(ln)
+		defer server.Close()
+		told.Metrics = ln.Addr().String()
+	}
+	line, err := json.Marshal(told)
+	if err != nil {
+		return err
+	}
+	fmt.Println(string(line))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	select {
+	case <-ctx.Done():
+		d.Stop()
+		<-d.Done()
+	case <-d.Done():
+	}
+	return nil
+}
+
+type checkCommand struct {
+	File string `arg:"" help:"The director's file." type:"path"`
+}
+
+func (c *checkCommand) Run() error {
+	house, err := conf.Load(c.File)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s: %s\n", c.File, house.Describe())
+	return nil
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,464 @@
+// Package daemon runs a director's loop on sockets: it listens for players, connects to nodes and to the
+// list, and hands what happens to the loop, one goroutine of its own that nobody else reaches but by its
+// inbox. It decides nothing.
+package daemon
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gobwas/ws"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"fordusher/internal/conf"
+	"fordusher/internal/director"
+	"fordusher/internal/transport"
+	"fordusher/internal/wire"
+	"fordusher/reach"
+)
+
+// Daemon is a running director.
+type Daemon struct {
+	house  *conf.House
+	loop   *director.Loop
+	log    zerolog.Logger
+	began  time.Time
+	seed   uint64
+	server *transport.Server
+
+	inbox inbox
+	quit  chan struct{} // closed by Kill
+	done  chan struct{} // closed when the loop has ended
+	once  sync.Once
+
+	// Only the loop's goroutine touches these.
+	players map[uint64]*transport.Conn // emptied as connections close
+	links   map[uint64]*transport.Conn // emptied as connections end
+	list    *transport.Conn
+
+	lastConn atomic.Uint64
+	seen     atomic.Pointer[snapshot]
+	refused  [3]atomic.Int64 // malformed messages of players, nodes, the list
+	flooded  atomic.Int64
+	late     atomic.Int64 // the loop's greatest lateness since the last look, nanoseconds
+}
+
+type snapshot struct {
+	counts                     director.Counts
+	owed, playing, legs, links int
+	players                    int
+}
+
+// Start runs a director around a module. Boot is a word that no other run of this director has used.
+func Start(house *conf.House, boot string, seed uint64, module director.Decider, log zerolog.Logger) (*Daemon, error) {
+	d := &Daemon{
+		house: house, loop: house.Loop(boot, seed, module), log: log, began: time.Now(), seed: seed,
+		inbox: inbox{wake: make(chan struct{}, 1)},
+		quit:  make(chan struct{}), done: make(chan struct{}),
+		players: map[uint64]*transport.Conn{}, links: map[uint64]*transport.Conn{},
+	}
+	d.seen.Store(&snapshot{})
+	var err error
+	d.server, err = transport.Serve(house.Listen, wire.SessionProtocol, house.Door.Players, players{d})
+	if err != nil {
+		return nil, err
+	}
+	go d.run()
+	go d.follow()
+	log.Info().Str("listen", d.server.Address()).Msg(house.Describe())
+	return d, nil
+}
+
+// Address is where players connect.
+func (d *Daemon) Address() string { return d.server.Address() }
+
+// Stop orders the director to end as package closing decides; Done tells when it has.
+func (d *Daemon) Stop() { d.inbox.put(item{in: director.Stop{}}) }
+
+// Done is closed once the director has ended.
+func (d *Daemon) Done() <-chan struct{} { return d.done }
+
+// Kill ends the director at once, as a crash would: nothing that it owes is answered.
+func (d *Daemon) Kill() {
+	d.once.Do(func() { close(d.quit) })
+	<-d.done
+}
+
+// An item of the inbox is what happened, with the connection that it made known.
+type item struct {
+	in   director.Input
+	conn *transport.Conn
+	peer *peer
+}
+
+// A peer counts its messages that wait for the loop: the inbox's bound, peer by peer.
+type peer struct {
+	number  uint64
+	pending atomic.Int32
+}
+
+// inbox is how everybody else reaches the loop. What connections say is bounded peer by peer; all else
+// is one item for each thing that the loop itself asked for.
+type inbox struct {
+	mu    sync.Mutex
+	items []item
+	wake  chan struct{}
+}
+
+func (b *inbox) put(i item) {
+	b.mu.Lock()
+	b.items = append(b.items, i)
+	b.mu.Unlock()
+	select {
+	case b.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (b *inbox) take(into []item) []item {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	taken := b.items
+	b.items = into[:0]
+	return taken
+}
+
+func (d *Daemon) now() time.Duration { return time.Since(d.began) }
+
+// snapEvery is how often the figures for metrics are renewed.
+const snapEvery = 200 * time.Millisecond
+
+func (d *Daemon) run() {
+	defer close(d.done)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	var batch []item
+	var snapped time.Duration
+	ended := false
+	for !ended {
+		batch = d.inbox.take(batch)
+		for i := range batch {
+			ended = d.take(batch[i]) || ended
+			batch[i] = item{}
+		}
+		now := d.now()
+		if next := d.loop.Next(); next <= now {
+			d.late.Store(max(d.late.Load(), int64(now-next)))
+			ended = d.carryOut(d.loop.Step(now, director.Tick{})) || ended
+		}
+		if now >= snapped+snapEvery || ended {
+			snapped = now
+			d.snap()
+		}
+		if len(batch) > 0 {
+			select {
+			case <-d.quit:
+				d.cut()
+				return
+			default:
+			}
+			continue
+		}
+		timer.Reset(min(max(0, d.loop.Next()-d.now()), snapEvery))
+		select {
+		case <-d.inbox.wake:
+		case <-timer.C:
+		case <-d.quit:
+			d.cut()
+			return
+		}
+	}
+	d.farewell()
+}
+
+// cut ends every connection at once.
+func (d *Daemon) cut() {
+	d.server.Close()
+	for _, c := range d.links {
+		c.Reset()
+	}
+	if d.list != nil {
+		d.list.Cut()
+	}
+}
+
+// farewell lets what is queued go out, for a short while, and then ends every connection.
+func (d *Daemon) farewell() {
+	d.server.Refusing(true)
+	for end := time.Now().Add(d.house.Door.Players.Write * 2); time.Now().Before(end); {
+		open := 0
+		d.server.Each(func(*transport.Conn) { open++ })
+		if open == 0 {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	d.once.Do(func() { close(d.quit) })
+	d.cut()
+	d.log.Info().Msg("closed")
+}
+
+func (d *Daemon) snap() {
+	s := &snapshot{players: len(d.players)}
+	s.counts, s.owed, s.playing, s.legs, s.links = d.loop.Counts()
+	d.seen.Store(s)
+}
+
+// take hands one thing that happened to the loop.
+func (d *Daemon) take(i item) (ended bool) {
+	if i.peer != nil {
+		i.peer.pending.Add(-1)
+	}
+	switch e := i.in.(type) {
+	case director.PlayerOpened:
+		d.players[e.Conn] = i.conn
+	case director.PlayerClosed:
+		delete(d.players, e.Conn)
+	case director.LinkMade:
+		d.links[e.Link] = i.conn
+	case director.LinkLost:
+		delete(d.links, e.Link)
+	case director.ListOpened:
+		d.list = i.conn
+	case director.ListLost:
+		d.list = nil
+	}
+	return d.carryOut(d.loop.Step(d.now(), i.in))
+}
+
+// carryOut does what the loop wants done.
+func (d *Daemon) carryOut(outs []director.Output) (ended bool) {
+	for _, o := range outs {
+		switch o := o.(type) {
+		case director.TellPlayer:
+			if c := d.players[o.Conn]; c != nil {
+				c.Send(wire.Encode(o.Message), 0)
+			}
+		case director.ClosePlayer:
+			if c := d.players[o.Conn]; c != nil {
+				c.Close(ws.StatusCode(o.Code), o.Why)
+			}
+		case director.TellNode:
+			c := d.links[o.Link]
+			if (c == nil || !c.Send(wire.Encode(o.Message), o.Setup)) && o.Setup != 0 {
+				d.inbox.put(item{in: director.Withdrawn{Leg: o.Setup}}) // never queued, so never sent
+			}
+		case director.Withdraw:
+			if c := d.links[o.Link]; c != nil && c.Withdraw(o.Leg) {
+				d.inbox.put(item{in: director.Withdrawn{Leg: o.Leg}})
+			}
+		case director.AskAlive:
+			if c := d.links[o.Link]; c != nil {
+				c.Ping()
+				d.inbox.put(item{in: director.LinkAlive{Link: o.Link, Quiet: time.Since(c.Heard())}})
+			}
+		case director.AskPlayerAlive:
+			if c := d.players[o.Conn]; c != nil {
+				c.Ping()
+				d.inbox.put(item{in: director.PlayerAlive{Conn: o.Conn, Quiet: time.Since(c.Heard())}})
+			}
+		case director.HangUp:
+			if c := d.links[o.Link]; c != nil {
+				c.Cut()
+			}
+		case director.Connect:
+			go d.connect(o)
+		case director.TellList:
+			if d.list != nil {
+				d.list.Send(wire.Encode(o.Message), 0)
+			}
+		case director.Log:
+			d.log.Info().Msg(o.Words)
+		case director.Ended:
+			ended = true
+		}
+	}
+	return ended
+}
+
+func (d *Daemon) connect(o director.Connect) {
+	h := &link{d: d, node: o.Node, peer: peer{number: o.Link}}
+	if _, err := transport.Dial(o.Address, wire.NodeProtocol, o.Within, d.house.Door.Nodes, h, nil); err != nil {
+		d.inbox.put(item{in: director.LinkFailed{Node: o.Node, Link: o.Link}})
+	}
+}
+
+// follow keeps the connection to the list's source.
+func (d *Daemon) follow() {
+	r := reach.New(d.seed, d.house.Pace)
+	plan := r.Step(d.now(), reach.Event{What: reach.Listed})
+	for {
+		select {
+		case <-d.quit:
+			return
+		default:
+		}
+		if len(plan.Dial) == 0 {
+			select {
+			case <-d.quit:
+				return
+			case <-time.After(max(0, plan.Ring-d.now())):
+			}
+			plan = r.Step(d.now(), reach.Event{What: reach.Ring})
+			continue
+		}
+		h := &source{d: d, gone: make(chan struct{})}
+		if _, err := transport.Dial(d.house.List, wire.ListProtocol, time.Second, d.house.Door.List, h, nil); err != nil {
+			d.log.Warn().Err(err).Msg("the list can't be reached; the last one stays in force")
+			plan = r.Step(d.now(), reach.Event{What: reach.Failed})
+			continue
+		}
+		r.Step(d.now(), reach.Event{What: reach.Made})
+		select {
+		case <-d.quit:
+			return
+		case <-h.gone:
+			plan = r.Step(d.now(), reach.Event{What: reach.Lost})
+		}
+	}
+}
+
+// hand puts a peer's message into the inbox, unless too many of its wait there.
+func (d *Daemon) hand(c *transport.Conn, p *peer, in director.Input) {
+	if p.pending.Add(1) > int32(d.house.Door.Inbox) {
+		d.flooded.Add(1)
+		c.Close(closePolicy, "too many messages at once")
+		return
+	}
+	d.inbox.put(item{in: in, peer: p})
+}
+
+const (
+	closePolicy = 1008
+	closeData   = 1007
+)
+
+func (d *Daemon) malformed(c *transport.Conn, who int, err error) {
+	if d.refused[who].Add(1) == 1 {
+		d.log.Warn().Str("peer", c.Peer().String()).Err(err).Msg("a malformed message; further ones are only counted")
+	}
+	c.Close(closeData, err.Error())
+}
+
+type players struct{ d *Daemon }
+
+func (h players) Opened(c *transport.Conn) {
+	p := &peer{number: h.d.lastConn.Add(1)}
+	c.SetCookie(p)
+	h.d.inbox.put(item{in: director.PlayerOpened{Conn: p.number}, conn: c})
+}
+
+func (h players) Message(c *transport.Conn, raw []byte) {
+	p := c.Cookie().(*peer)
+	m, err := wire.DecodeSession(raw)
+	if err != nil {
+		h.d.malformed(c, 0, err)
+		return
+	}
+	h.d.hand(c, p, director.PlayerSaid{Conn: p.number, Message: m})
+}
+
+func (h players) Closed(c *transport.Conn, _ error, _ []uint64) {
+	if p, ok := c.Cookie().(*peer); ok {
+		h.d.inbox.put(item{in: director.PlayerClosed{Conn: p.number}})
+	}
+}
+
+type link struct {
+	d    *Daemon
+	node string
+	peer peer
+}
+
+func (h *link) Opened(c *transport.Conn) {
+	h.d.inbox.put(item{in: director.LinkMade{Node: h.node, Link: h.peer.number}, conn: c})
+}
+
+func (h *link) Message(c *transport.Conn, raw []byte) {
+	m, err := wire.DecodeNode(raw)
+	if err != nil {
+		h.d.malformed(c, 1, fmt.Errorf("node %s: %w", h.node, err))
+		return
+	}
+	h.d.hand(c, &h.peer, director.LinkSaid{Link: h.peer.number, Message: m})
+}
+
+func (h *link) Closed(_ *transport.Conn, _ error, unsent []uint64) {
+	h.d.inbox.put(item{in: director.LinkLost{Link: h.peer.number, Unsent: unsent}})
+}
+
+type source struct {
+	d    *Daemon
+	peer peer
+	gone chan struct{}
+}
+
+func (h *source) Opened(c *transport.Conn) {
+	h.d.inbox.put(item{in: director.ListOpened{}, conn: c})
+}
+
+func (h *source) Message(c *transport.Conn, raw []byte) {
+	m, err := wire.DecodeList(raw)
+	if err != nil {
+		h.d.malformed(c, 2, err)
+		return
+	}
+	h.d.hand(c, &h.peer, director.ListSaid{Message: m})
+}
+
+func (h *source) Closed(*transport.Conn, error, []uint64) {
+	h.d.inbox.put(item{in: director.ListLost{}})
+	close(h.gone)
+}
+
+// Describe and Collect make a Daemon a prometheus.Collector.
+func (d *Daemon) Describe(ch chan<- *prometheus.Desc) { prometheus.DescribeByCollect(d, ch) }
+
+// Collect reads the figures that the loop last left.
+func (d *Daemon) Collect(ch chan<- prometheus.Metric) {
+	s := d.seen.Load()
+	c := &s.counts
+	for _, x := range []struct {
+		name, help string
+		kind       prometheus.ValueType
+		value      float64
+	}{
+		{"requests_taken_total", "requests for a session", prometheus.CounterValue, float64(c.Taken)},
+		{"requests_repeated_total", "repetitions, answered as before", prometheus.CounterValue, float64(c.Repeated)},
+		{"sessions_adopted_total", "sessions found again by their viewer's key", prometheus.CounterValue, float64(c.Adopted)},
+		{"answers_played_total", "final answers: it plays", prometheus.CounterValue, float64(c.Played)},
+		{"answers_nacked_total", "final answers: coming again does no harm", prometheus.CounterValue, float64(c.Nacked)},
+		{"answers_errored_total", "final answers that claim nothing", prometheus.CounterValue, float64(c.Errored)},
+		{"requests_gone_total", "viewers who left before the answer", prometheus.CounterValue, float64(c.Gone)},
+		{"answers_overdue_total", "answers that the loop had to give in the module's place", prometheus.CounterValue, float64(c.Overdue)},
+		{"legs_total", "set-ups sent", prometheus.CounterValue, float64(c.Legs)},
+		{"legs_further_total", "set-ups beyond a session's first", prometheus.CounterValue, float64(c.Further)},
+		{"sessions_broken_total", "sessions that lost their node", prometheus.CounterValue, float64(c.Broken)},
+		{"odd_moves_total", "moves that no table has; should be 0", prometheus.CounterValue, float64(c.OddMove)},
+		{"stray_total", "messages for what is not known (any more)", prometheus.CounterValue, float64(c.Stray)},
+		{"late_total", "second answers, and answers for who has one", prometheus.CounterValue, float64(c.Late)},
+		{"malformed_total", "malformed messages", prometheus.CounterValue,
+			float64(d.refused[0].Load() + d.refused[1].Load() + d.refused[2].Load())},
+		{"flooded_total", "connections closed for too many messages", prometheus.CounterValue, float64(d.flooded.Load())},
+		{"accept_complaints_total", "failures that the transport noted", prometheus.CounterValue, float64(transport.Complaints())},
+		{"answers_owed", "requests without an answer yet", prometheus.GaugeValue, float64(s.owed)},
+		{"sessions_playing", "sessions that play", prometheus.GaugeValue, float64(s.playing)},
+		{"legs_out", "legs, set-ups and sessions", prometheus.GaugeValue, float64(s.legs)},
+		{"node_connections", "connections to nodes", prometheus.GaugeValue, float64(s.links)},
+		{"player_connections", "connections of players", prometheus.GaugeValue, float64(s.players)},
+		{"loop_late_seconds", "greatest lateness of the loop since the last look", prometheus.GaugeValue,
+			time.Duration(d.late.Swap(0)).Seconds()},
+	} {
+		ch <- prometheus.MustNewConstMetric(prometheus.NewDesc("fordusher_"+x.name, x.help, nil, nil), x.kind, x.value)
+	}
+	never := prometheus.NewDesc("fordusher_legs_never_ran_total", "legs that provably never ran, by proof", []string{"proof"}, nil)
+	for word, n := range c.Proofs() {
+		ch <- prometheus.MustNewConstMetric(never, prometheus.CounterValue, float64(n), word)
+	}
+}
+
+// Counts returns what the loop has counted, as of the last 200 ms.
+func (d *Daemon) Counts() director.Counts { return d.seen.Load().counts }
--- /dev/null
+++ b/internal/day/result.go
@@ -0,0 +1,97 @@
+package day
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"fordusher/internal/witness"
+)
+
+// Result is how a day went.
+type Result struct {
+	Seed       uint64          `json:"seed"`
+	Viewers    int             `json:"viewers"`
+	Taken      int             `json:"taken"` // requests that a director got
+	Played     int             `json:"played"`
+	Nacked     int             `json:"nacked"`
+	Errored    int             `json:"errored"`
+	Gone       int             `json:"gone"` // the viewer left, or its director was killed, before an answer
+	Unanswered int             `json:"unanswered"`
+	Again      int             `json:"again"` // of the requests taken, not their viewer's first
+	P50        float64         `json:"p50_ms"`
+	P99        float64         `json:"p99_ms"`
+	Most       float64         `json:"max_ms"`
+	Credit     float64         `json:"credit"` // within the goal time, over what was asked for
+	Legs       int             `json:"legs"`
+	Rules      witness.Verdict `json:"rules"`
+
+	Terms   witness.Terms    `json:"-"`
+	Records []witness.Record `json:"-"`
+}
+
+// Kept tells whether every rule was kept and every request ended in exactly one way.
+func (r *Result) Kept() bool { return r.Rules.Kept() && r.Unanswered == 0 }
+
+func (g *rig) result() *Result {
+	r := &Result{Seed: g.opt.Seed, Terms: g.terms(), Records: g.record.Records()}
+	r.judge()
+	h := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
+	for _, d := range g.crowd.Latency {
+		h.RecordValue(max(1, d.Microseconds()))
+	}
+	r.P50, r.P99, r.Most = ms(h.ValueAtQuantile(50)), ms(h.ValueAtQuantile(99)), ms(h.Max())
+	var credit, asked float64
+	for name, t := range r.Terms.Tariffs {
+		credit += t.Credit * float64(g.crowd.InGoal[name])
+		asked += t.Credit * float64(g.crowd.Asked[name])
+		r.Viewers += g.crowd.Asked[name]
+	}
+	if asked > 0 {
+		r.Credit = credit / asked
+	}
+	return r
+}
+
+func ms(us int64) float64 { return float64(us) / 1000 }
+
+// judge counts the endings and checks the rules, from the records alone.
+func (r *Result) judge() {
+	r.Rules = witness.Check(r.Terms, r.Records)
+	t := witness.Tally(r.Records)
+	r.Taken, r.Played, r.Nacked, r.Errored = t.Taken, t.Played, t.Nacked, t.Errored
+	r.Gone, r.Unanswered, r.Again, r.Legs = t.Gone, t.Unanswered, t.Again, t.Legs
+}
+
+// Judge checks records again that were kept.
+func Judge(terms witness.Terms, records []witness.Record) *Result {
+	r := &Result{Terms: terms, Records: records}
+	r.judge()
+	return r
+}
+
+// Print writes the table.
+func (r *Result) Print(w io.Writer) {
+	fmt.Fprintf(w, "\nrequests   taken %d: played %d, nacked %d, errored %d, gone %d, unanswered %d\n",
+		r.Taken, r.Played, r.Nacked, r.Errored, r.Gone, r.Unanswered)
+	fmt.Fprintf(w, "           of them %d came again; %d legs\n", r.Again, r.Legs)
+	if r.Viewers > 0 {
+		fmt.Fprintf(w, "set-up     p50 %.1f ms, p99 %.1f ms, longest %.1f ms\n", r.P50, r.P99, r.Most)
+		fmt.Fprintf(w, "credit     %.3f within the goal time, of %d viewers\n", r.Credit, r.Viewers)
+	}
+	fmt.Fprintf(w, "\n%-16s %9s %7s\n", "rule", "checked", "broken")
+	for _, name := range witness.Rules {
+		f := r.Rules[name]
+		fmt.Fprintf(w, "%-16s %9d %7d\n", name, f.Checked, f.Broken)
+		for _, e := range f.Examples {
+			fmt.Fprintf(w, "    %s\n", e)
+		}
+	}
+	if r.Kept() {
+		fmt.Fprintln(w, "\nall rules kept")
+	} else {
+		fmt.Fprintln(w, "\nA RULE WAS BROKEN")
+	}
+}
--- /dev/null
+++ b/internal/day/rig.go
@@ -0,0 +1,363 @@
+package day
+
+import (
+	"bytes"
+	"context"
+	_ "embed"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"text/template"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fordusher/internal/conf"
+	"fordusher/internal/daemon"
+	"fordusher/internal/director"
+	"fordusher/internal/standin/list"
+	"fordusher/internal/standin/node"
+	"fordusher/internal/standin/player"
+	"fordusher/internal/wire"
+	"fordusher/internal/witness"
+)
+
+//go:embed house.jsonc
+var houseText string
+
+var houseTemplate = template.Must(template.New("house").Parse(houseText))
+
+// Options are how a day is run.
+type Options struct {
+	Seed     uint64
+	Log      zerolog.Logger
+	Progress func(line string)                                 // a line now and then; may be nil
+	Module   func(h *conf.House, seed uint64) director.Decider // nil: the module
+	Wrap     func(d director.Decider) director.Decider         // for tests that break it; may be nil
+	Launch   Launcher                                          // nil: everything in this process
+	Slack    time.Duration                                     // of the witness; 0: 100 ms
+}
+
+// A Director that runs somewhere.
+type Director interface {
+	Address() string
+	Kill()
+	Stop()
+	Done() <-chan struct{}
+}
+
+// Fleet is the stand-in nodes, wherever they run.
+type Fleet interface {
+	Address(node string) string
+	Start(node string) (start uint64, age time.Duration)
+	Do(x node.Fault)
+	Close()
+}
+
+// A Launcher starts the parts of a day in processes of their own.
+type Launcher interface {
+	Fleet(seed uint64, site node.Site, machines []node.Machine, record *witness.Recorder, fell func(string)) (Fleet, error)
+	Director(house []byte, name, boot string, seed uint64) (Director, error)
+}
+
+// house fills in the directors' file.
+type houseFacts struct {
+	Name          string
+	Me, Directors int
+	List          string
+	Cells, Racks  int
+	Link, Uplink  float64
+	Places, Seats int
+}
+
+// rig is a day under way.
+type rig struct {
+	script   *Script
+	opt      Options
+	record   *witness.Recorder
+	fleet    Fleet
+	list     *list.Source
+	crowd    *player.Crowd
+	machines []node.Machine
+	titles   []wire.Title
+	facts    houseFacts
+	first    *conf.House
+
+	mu        sync.Mutex
+	chance    *rand.Rand
+	directors []*post
+	busy      map[string]bool // nodes that some trouble has hold of
+	rate      float64         // of arrivals, times the usual
+	hot       float64         // share of arrivals that want one of a few titles
+	boots     int
+	began     time.Time
+	waiting   sync.WaitGroup
+}
+
+// A post is one director's place: who stands there now, and where viewers believe it to be.
+type post struct {
+	name    string
+	now     Director // nil while it is down
+	address string
+}
+
+// Run runs a day and returns how it went.
+func Run(ctx context.Context, s *Script, opt Options) (*Result, error) {
+	g := &rig{
+		script: s, opt: opt, record: &witness.Recorder{}, chance: rand.New(rand.NewPCG(opt.Seed, 2)),
+		busy: map[string]bool{}, rate: 1,
+	}
+	if err := g.build(); err != nil {
+		g.close()
+		return nil, err
+	}
+	defer g.close()
+	if err := g.ready(); err != nil {
+		return nil, err
+	}
+	g.run(ctx)
+	return g.result(), nil
+}
+
+// build lays out the site, and starts the nodes, the list and the directors.
+func (g *rig) build() error {
+	s := g.script
+	const middle = 703.0
+	concurrent := float64(s.Requests) / s.Length.Seconds() * s.Mean.Seconds()
+	link := max(3*middle, concurrent*middle/s.Load/float64(s.Nodes))
+	perRack := (s.Nodes + s.Racks - 1) / s.Racks
+	g.facts = houseFacts{
+		Directors: s.Directors, Cells: s.Nodes, Racks: s.Racks, Link: link,
+		Uplink: link * float64(perRack) * 0.95, Places: int(math.Ceil(link / middle * 2.5)),
+	}
+	g.facts.Seats = max(2, int(concurrent/float64(s.Directors)/8))
+	var uplinks []float64
+	for range s.Racks {
+		uplinks = append(uplinks, g.facts.Uplink*(0.85+0.3*g.chance.Float64()))
+	}
+	for i := range s.Nodes {
+		g.machines = append(g.machines, node.Machine{
+			Name: "node-" + strconv.Itoa(i), Kind: "box", Rack: i % s.Racks, Places: g.facts.Places,
+			Link: link * (0.85 + 0.3*g.chance.Float64()), Cores: 2, Work: 3 * time.Millisecond,
+		})
+	}
+	site := node.Site{
+		Uplinks: uplinks, Warmup: 5 * time.Second, ColdFrom: 0.4, Multiple: 4, TipAfter: time.Second,
+		Late: 600 * time.Millisecond, Every: 2 * time.Second, Refresh: 300 * time.Millisecond,
+	}
+	fell := func(name string) { g.say("%s was pushed over and stays down", name) }
+	var err error
+	if g.opt.Launch != nil {
+		g.fleet, err = g.opt.Launch.Fleet(g.opt.Seed, site, g.machines, g.record, fell)
+	} else {
+		g.fleet, err = node.Open(node.NewFarm(g.opt.Seed, site, g.machines), g.record, fell)
+	}
+	if err != nil {
+		return err
+	}
+	copies := max(min(3, s.Nodes), s.Nodes/5)
+	for i := range s.Titles {
+		g.titles = append(g.titles, wire.Title{Title: "title-" + strconv.Itoa(i), Base: g.chance.IntN(s.Nodes), Copies: copies})
+	}
+	var entries []wire.Entry
+	for i, m := range g.machines {
+		entries = append(entries, g.entry(i, m, wire.Up))
+	}
+	if g.list, err = list.Open(g.record, entries, g.titles); err != nil {
+		return err
+	}
+	for i := range s.Directors {
+		p := &post{name: "director-" + strconv.Itoa(i)}
+		g.directors = append(g.directors, p)
+		if err := g.start(i); err != nil {
+			return err
+		}
+	}
+	g.crowd = &player.Crowd{Habit: s.Habit, Record: g.record, Pick: g.pick}
+	return nil
+}
+
+func (g *rig) entry(cell int, m node.Machine, state string) wire.Entry {
+	start, _ := g.fleet.Start(m.Name)
+	return wire.Entry{Node: m.Name, Address: g.fleet.Address(m.Name), State: state, Kind: m.Kind, Zone: "hall",
+		Start: start, Weight: 1, Cell: cell}
+}
+
+// start puts a director at its post.
+func (g *rig) start(i int) error {
+	p := g.directors[i]
+	facts := g.facts
+	facts.Name, facts.Me, facts.List = p.name, i, g.list.Address()
+	var text bytes.Buffer
+	if err := houseTemplate.Execute(&text, facts); err != nil {
+		return err
+	}
+	house, err := conf.Read(p.name+".jsonc", text.Bytes())
+	if err != nil {
+		return err
+	}
+	g.mu.Lock()
+	g.boots++
+	boot, seed := strconv.Itoa(g.boots), g.opt.Seed*1000+uint64(g.boots)
+	if g.first == nil {
+		g.first = house
+	}
+	g.mu.Unlock()
+	var d Director
+	if g.opt.Launch != nil {
+		d, err = g.opt.Launch.Director(text.Bytes(), p.name, boot, seed)
+	} else {
+		var module director.Decider = house.Module(seed)
+		if g.opt.Module != nil {
+			module = g.opt.Module(house, seed)
+		}
+		if g.opt.Wrap != nil {
+			module = g.opt.Wrap(module)
+		}
+		d, err = daemon.Start(house, boot, seed, module, g.opt.Log.With().Str("director", p.name).Logger())
+	}
+	if err != nil {
+		return err
+	}
+	g.record.Add(witness.Record{What: witness.Returned, Director: p.name})
+	g.mu.Lock()
+	p.now, p.address = d, d.Address()
+	g.mu.Unlock()
+	return nil
+}
+
+// ready waits until the directors have the list and their connections: a short request of each works.
+func (g *rig) ready() error {
+	// The directors dial every node at once; loopback needs no more than a moment.
+	time.Sleep(300 * time.Millisecond)
+	return nil
+}
+
+// pick is the director that a viewer goes to; one that is down is still tried by some.
+func (g *rig) pick(r *rand.Rand) (name, address string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p := g.directors[r.IntN(len(g.directors))]
+	return p.name, p.address
+}
+
+func (g *rig) say(format string, args ...any) {
+	if g.opt.Progress != nil {
+		g.opt.Progress(fmt.Sprintf("%6.1fs  ", time.Since(g.began).Seconds()) + fmt.Sprintf(format, args...))
+	}
+}
+
+// run lets viewers come until the day's length is over, and waits for the last of them.
+func (g *rig) run(ctx context.Context) {
+	g.began = time.Now()
+	end := g.began.Add(g.script.Length)
+	g.crowd.Ends = end.Add(2 * time.Second)
+	day, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	var troubles sync.WaitGroup
+	for _, t := range g.script.Troubles {
+		troubles.Go(func() { g.trouble(day, t) })
+	}
+	rest, stop := context.WithDeadline(ctx, end.Add(30*time.Second))
+	defer stop()
+	tick := time.NewTicker(5 * time.Millisecond)
+	defer tick.Stop()
+	per := float64(g.script.Requests) / g.extent()
+	came, due, last, said := 0, 0.0, g.began, g.began
+	for came < g.script.Requests && ctx.Err() == nil {
+		<-tick.C
+		now := time.Now()
+		g.mu.Lock()
+		due += per * g.rate * now.Sub(last).Seconds()
+		hot := g.hot
+		g.mu.Unlock()
+		last = now
+		for ; due >= 1 && came < g.script.Requests; due-- {
+			v, r := g.viewer(came, hot)
+			came++
+			g.waiting.Go(func() { g.crowd.Watch(rest, v, r) })
+		}
+		if now.Sub(said) >= 2*time.Second {
+			said = now
+			g.say("%d viewers have come", came)
+		}
+	}
+	troubles.Wait()
+	g.waiting.Wait()
+	time.Sleep(50 * time.Millisecond) // what is still on its way
+}
+
+// extent is the day's length in seconds, with bursts counted as often as they multiply.
+func (g *rig) extent() float64 {
+	seconds := g.script.Length.Seconds()
+	for _, t := range g.script.Troubles {
+		if t.Kind == "burst" {
+			seconds += min(t.For, g.script.Length-t.At).Seconds() * (t.Size - 1)
+		}
+	}
+	return seconds
+}
+
+func (g *rig) viewer(number int, hot float64) (player.Viewer, *rand.Rand) {
+	r := rand.New(rand.NewPCG(g.opt.Seed, uint64(number)+1000))
+	v := player.Viewer{Number: number + 1, Key: strconv.FormatUint(r.Uint64(), 36)}
+	i := 0
+	if x := r.Float64(); x < 0.3 {
+		i = 1
+	} else if x < 0.5 {
+		i = 2
+	}
+	t := g.first.Tariffs[i]
+	v.Tariff, v.Paid, v.Wait, v.Goal = t.Name, t.Paid, t.HardStop, t.GoalTime
+	// Some titles are wanted far more than others.
+	x := r.Float64()
+	title := int(x * x * float64(len(g.titles)))
+	if r.Float64() < hot {
+		title = r.IntN(min(2, len(g.titles)))
+	}
+	v.Title = g.titles[title].Title
+	v.Length = time.Duration(float64(g.script.Mean) * (0.4 + 1.2*r.Float64()))
+	if r.Float64() < 0.2 {
+		v.Top = new(r.IntN(2) + 1)
+	}
+	return v, r
+}
+
+func (g *rig) close() {
+	g.mu.Lock()
+	directors := g.directors
+	g.mu.Unlock()
+	for _, p := range directors {
+		g.mu.Lock()
+		d := p.now
+		g.mu.Unlock()
+		if d != nil {
+			d.Kill()
+		}
+	}
+	if g.list != nil {
+		g.list.Close()
+	}
+	if g.fleet != nil {
+		g.fleet.Close()
+	}
+}
+
+// terms are the figures of the rules, as the directors were told them.
+func (g *rig) terms() witness.Terms {
+	h := g.first
+	t := witness.Terms{
+		Tariffs: map[string]witness.Tariff{}, Grace: h.Grace, Warmup: h.Ramp.Warmup, ColdFrom: h.Ramp.ColdFrom,
+		Multiple: h.Ramp.Multiple, TipAfter: h.Ramp.TipAfter, Most: h.Legs.Most, Spare: h.Legs.Spare, Share: h.Legs.Share,
+		Span: h.Legs.Span, Slack: g.opt.Slack,
+	}
+	if t.Slack == 0 {
+		t.Slack = 100 * time.Millisecond
+	}
+	for _, x := range h.Tariffs {
+		t.Tariffs[x.Name] = witness.Tariff{Paid: x.Paid, Floor: x.Floor, Seats: x.Seats, Credit: x.Credit, Goal: x.GoalTime}
+	}
+	return t
+}
--- /dev/null
+++ b/internal/day/script.go
@@ -0,0 +1,152 @@
+// Package day runs a scripted day on loopback: directors, stand-in nodes, list and players, troubles that
+// overlap, and the verdict from what crossed the sockets.
+package day
+
+import (
+	_ "embed"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"fordusher/internal/conf"
+	"fordusher/internal/standin/player"
+)
+
+//go:embed bad.jsonc
+var badDay []byte
+
+// Kinds are the troubles that a script may name.
+var Kinds = []string{"ageing", "answer_lost", "balancer_roll", "burst", "crash", "deploy", "discovery_stale", "fast_errors",
+	"hang", "hot_key", "origin_slow", "preempt", "shared_slow", "vanish"}
+
+// Trouble is one thing that goes wrong.
+type Trouble struct {
+	Kind  string
+	At    time.Duration
+	For   time.Duration
+	Share float64
+	Size  float64
+}
+
+// Script is a day.
+type Script struct {
+	Length       time.Duration
+	Requests     int // viewers who come; those who come again are on top
+	Directors    int
+	Nodes        int
+	Racks        int
+	Titles       int
+	Load         float64 // of the links at the middle rate
+	Mean         time.Duration
+	Habit        player.Habit
+	NoticeLow    time.Duration
+	NoticeHigh   time.Duration
+	SilentNotice time.Duration
+	Troubles     []Trouble
+}
+
+// Default is the script that ships with the program.
+func Default() *Script {
+	s, err := Read("bad.jsonc", badDay)
+	if err != nil {
+		panic(fmt.Sprintf("the script that ships with the program: %v", err))
+	}
+	return s
+}
+
+// Load reads a script's file; what is wrong with it comes back as conf.Problems.
+func Load(file string) (*Script, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	return Read(file, text)
+}
+
+// Read reads a script from its text.
+func Read(file string, text []byte) (*Script, error) {
+	r, o := conf.Parse(file, text)
+	if err := r.Err(); err != nil {
+		return nil, err
+	}
+	s := &Script{
+		Length:    o.Span("length", 20*time.Second, time.Second, time.Hour, false),
+		Requests:  o.Whole("requests", 2000, 1, 10_000_000, false),
+		Directors: o.Whole("directors", 3, 1, 300, false),
+		Nodes:     o.Whole("nodes", 24, 1, 1000, false),
+		Racks:     o.Whole("racks", 4, 1, 1000, false),
+		Titles:    o.Whole("titles", 40, 1, 100_000, false),
+		Load:      o.Number("load", 0.85, 0.01, 10, false),
+	}
+	if s.Racks > s.Nodes {
+		r.Wrong(o.Where("racks"), "there are %d racks for %d nodes", s.Racks, s.Nodes)
+	}
+	v := o.Object("viewers", false)
+	s.Mean = v.Span("mean_length", 3*time.Second, 100*time.Millisecond, time.Hour, false)
+	s.Habit = player.Habit{
+		Returns:   v.Number("returns", 0.88, 0, 1, false),
+		PauseLow:  v.Span("pause_low", 200*time.Millisecond, 0, time.Hour, false),
+		PauseHigh: v.Span("pause_high", 1200*time.Millisecond, 0, time.Hour, false),
+		Heeds:     v.Number("heeds", 0.8, 0, 1, false),
+		Hasty:     v.Number("hasty", 0.04, 0, 1, false),
+		Repeats:   v.Number("repeats", 0.02, 0, 1, false),
+		Drops:     v.Number("drops", 0.03, 0, 1, false),
+	}
+	if s.Habit.PauseLow > s.Habit.PauseHigh {
+		r.Wrong(v.Where("pause_low"), "pause_low is %v, longer than pause_high, which is %v", s.Habit.PauseLow, s.Habit.PauseHigh)
+	}
+	v.Done()
+	l := o.Object("list", false)
+	s.NoticeLow = l.Span("notice_low", 200*time.Millisecond, 0, time.Hour, false)
+	s.NoticeHigh = l.Span("notice_high", 900*time.Millisecond, 0, time.Hour, false)
+	s.SilentNotice = l.Span("silent_notice", 3*time.Second, 0, time.Hour, false)
+	if s.NoticeLow > s.NoticeHigh {
+		r.Wrong(l.Where("notice_low"), "notice_low is %v, longer than notice_high, which is %v", s.NoticeLow, s.NoticeHigh)
+	}
+	l.Done()
+	o.Objects("troubles", false, func(_ int, t *conf.Object) {
+		x := Trouble{
+			Kind:  t.Text("kind", "", true),
+			At:    t.Span("at", 0, 0, time.Hour, true),
+			For:   t.Span("for", time.Second, time.Millisecond, time.Hour, false),
+			Share: t.Number("share", 0.1, 0, 1, false),
+			Size:  t.Number("size", defaultSize(t.Text("kind", "", false)), 0, 1000, false),
+		}
+		if x.Kind != "" && !slices.Contains(Kinds, x.Kind) {
+			r.Wrong(t.Where("kind"), "unknown trouble %q; the troubles are %s", x.Kind, strings.Join(Kinds, ", "))
+		}
+		if x.At >= s.Length {
+			r.Wrong(t.Where("at"), "%s begins at %v, but the day ends at %v", x.Kind, x.At, s.Length)
+		}
+		t.Done()
+		s.Troubles = append(s.Troubles, x)
+	})
+	o.Done()
+	if err := r.Err(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// defaultSize is what a trouble's size is where the script does not say.
+func defaultSize(kind string) float64 {
+	switch kind {
+	case "ageing":
+		return 10
+	case "answer_lost":
+		return 0.25
+	case "fast_errors":
+		return 0.7
+	case "hot_key":
+		return 0.25
+	case "origin_slow":
+		return 3
+	case "balancer_roll":
+		return 0.8
+	case "burst", "shared_slow":
+		return 1.6
+	}
+	return 1
+}
--- /dev/null
+++ b/internal/director/account.go
@@ -0,0 +1,530 @@
+package director
+
+import (
+	"time"
+
+	"fordusher/internal/wire"
+	"fordusher/policy"
+)
+
+// A conn is a player's connection. Its requests are those whose session lives, and the last few that ended.
+type conn struct {
+	number   uint64
+	requests map[string]*request // at most PerConnection live ones and remembered ended ones
+	ended    []string            // ids of requests that ended, oldest first
+	live     int
+	ping     *timer
+}
+
+// remembered is how many ended requests of a connection can still be answered as before.
+const remembered = 16
+
+// A request is a want of a player under its own id.
+type request struct {
+	session *session      // nil once that is over
+	answer  *wire.Session // the final answer, once given
+}
+
+type phase int
+
+const (
+	held phase = iota
+	setting
+	playing
+	over
+)
+
+var sessionMoves = [...][4]bool{
+	held:    {setting: true, over: true},
+	setting: {held: true, playing: true, over: true},
+	playing: {over: true},
+	over:    {},
+}
+
+type session struct {
+	id       uint64
+	name     string
+	key      string
+	tariff   int
+	title    string
+	length   time.Duration
+	phase    phase
+	answered bool // the final answer was given, or is no longer owed
+	rung     int
+	stop     time.Duration // the answer is out by then
+	conn     *conn         // nil while the player's connection is gone
+	request  string
+	leg      *leg
+	legs     int
+	answer   *timer
+	linger   *timer
+}
+
+type legPhase int
+
+const (
+	legWaiting legPhase = iota
+	legSent
+	legPlaying
+	legOver
+)
+
+var legMoves = [...][4]bool{
+	legWaiting: {legSent: true, legOver: true},
+	legSent:    {legPlaying: true, legOver: true},
+	legPlaying: {legOver: true},
+	legOver:    {},
+}
+
+type leg struct {
+	id      uint64
+	session *session
+	node    *node
+	phase   legPhase
+	stop    time.Duration // it is cut off then
+	late    *timer
+}
+
+// move changes a session's phase; one that the table does not have is counted.
+func (l *Loop) move(s *session, to phase) {
+	if !sessionMoves[s.phase][to] {
+		l.odd("session", int(s.phase), int(to))
+	}
+	switch {
+	case s.phase == playing:
+		l.playing--
+	case to == playing:
+		l.playing++
+	}
+	s.phase = to
+}
+
+func (l *Loop) moveLeg(g *leg, to legPhase) {
+	if !legMoves[g.phase][to] {
+		l.odd("leg", int(g.phase), int(to))
+	}
+	g.phase = to
+}
+
+func (l *Loop) odd(what string, from, to int) {
+	l.counts.OddMove++
+	if !l.oddMove {
+		l.oddMove = true
+		l.log("a %s moved from %d to %d, which should not be; further ones are only counted", what, from, to)
+	}
+}
+
+// Players.
+
+func (l *Loop) playerSaid(e PlayerSaid) {
+	c := l.conns[e.Conn]
+	if c == nil {
+		return // it closed a moment ago
+	}
+	m := e.Message
+	r := c.requests[m.ID]
+	switch m.Type {
+	case wire.Want:
+		if r != nil { // a repetition: answered as before, never taken twice
+			l.counts.Repeated++
+			if r.answer != nil {
+				l.do(TellPlayer{c.number, *r.answer})
+			}
+			return
+		}
+		l.want(c, m)
+	case wire.Leave:
+		if r != nil && r.session != nil {
+			l.gone(r.session)
+		}
+	case wire.Report:
+		if r == nil {
+			l.counts.Stray++
+		}
+	default:
+		l.counts.BadWord++
+		l.do(ClosePlayer{c.number, 1008, "players do not say " + m.Type})
+	}
+}
+
+func (l *Loop) want(c *conn, m wire.Session) {
+	l.counts.Taken++
+	r := &request{}
+	c.requests[m.ID] = r
+	refuse := func(kind, why string, count *uint64) {
+		*count++
+		answer := wire.Session{Type: kind, ID: m.ID, Why: why}
+		r.answer = &answer
+		l.do(TellPlayer{c.number, answer})
+		l.remember(c, m.ID)
+	}
+	tariff, known := l.tariff[m.Tariff]
+	t, listed := l.titles[m.Title]
+	stop := l.now + time.Duration(m.Wait)*time.Millisecond
+	switch {
+	case l.stop != nil:
+		l.counts.Closing++
+		refuse(wire.Nack, "director closes", &l.counts.Nacked)
+		return
+	case !known:
+		refuse(wire.Errored, "unknown tariff", &l.counts.Errored)
+		return
+	case !listed:
+		refuse(wire.Nack, "unknown title", &l.counts.Nacked)
+		return
+	case c.live >= l.manners.PerConnection:
+		refuse(wire.Nack, "too many sessions on this connection", &l.counts.Nacked)
+		return
+	}
+	stop = min(stop, l.now+l.tariffs[tariff].HardStop) - l.manners.AnswerAhead
+	if s := l.keys[m.Key]; s != nil {
+		switch {
+		case s.tariff != tariff || s.title != m.Title || s.answered && s.phase != playing:
+			refuse(wire.Errored, "key is in use", &l.counts.Errored)
+		default:
+			l.adopt(s, c, m.ID, stop)
+		}
+		return
+	}
+	l.lastSession++
+	s := &session{
+		id: l.lastSession, name: l.sessionName(l.lastSession), key: m.Key, tariff: tariff, title: m.Title,
+		length: time.Duration(m.Length) * time.Millisecond, stop: stop, conn: c, request: m.ID,
+		rung: l.tariffs[tariff].Floor,
+	}
+	r.session = s
+	c.live++
+	l.sessions[s.id], l.keys[s.key] = s, s
+	l.owed++
+	s.answer = l.timers.add(stop, timerAnswer, s.id)
+	top := len(l.ladder.Rates) - 1
+	if m.Top != nil {
+		top = min(top, *m.Top)
+	}
+	l.tell(policy.Demand{
+		ID: s.id, Tariff: tariff, Title: t.id, Base: t.base, Copies: t.copies, Top: top, HardStop: stop,
+	})
+}
+
+// adopt gives a session to the connection on which its viewer came again. It guards a viewer whose
+// connection broke against a second set-up, the paid one above all: the session is the same one, with
+// the answer due no later than before.
+func (l *Loop) adopt(s *session, c *conn, id string, stop time.Duration) {
+	l.counts.Adopted++
+	if s.conn != nil && s.conn != c {
+		l.do(TellPlayer{s.conn.number, wire.Session{Type: wire.Over, ID: s.request, Session: s.name, Why: "taken over"}})
+	}
+	l.unhand(s)
+	s.conn, s.request = c, id
+	c.requests[id].session = s
+	c.live++
+	if s.linger != nil {
+		l.timers.remove(s.linger)
+		s.linger = nil
+	}
+	if s.phase == playing {
+		l.counts.Played++
+		l.tellPlays(s)
+		return
+	}
+	l.counts.Gone++ // the first request; the second has taken its place
+	if stop < s.stop {
+		s.stop = stop
+		l.timers.remove(s.answer)
+		s.answer = l.timers.add(stop, timerAnswer, s.id)
+	}
+}
+
+// unhand takes a session off its connection.
+func (l *Loop) unhand(s *session) {
+	if c := s.conn; c != nil {
+		c.live--
+		if r := c.requests[s.request]; r != nil {
+			r.session = nil
+		}
+		l.remember(c, s.request)
+		s.conn = nil
+	}
+}
+
+// remember keeps an ended request among the last few.
+func (l *Loop) remember(c *conn, id string) {
+	c.ended = append(c.ended, id)
+	if len(c.ended) > remembered {
+		delete(c.requests, c.ended[0])
+		c.ended = c.ended[1:]
+	}
+}
+
+func (l *Loop) playerClosed(number uint64) {
+	c := l.conns[number]
+	if c == nil {
+		return
+	}
+	delete(l.conns, number)
+	l.timers.remove(c.ping)
+	for id := range sorted(c.requests) {
+		s := c.requests[id].session
+		if s == nil {
+			continue
+		}
+		s.conn = nil
+		if l.stop != nil || l.manners.Linger == 0 {
+			l.gone(s)
+			continue
+		}
+		s.linger = l.timers.add(l.now+l.manners.Linger, timerLinger, s.id)
+	}
+}
+
+// gone ends a session whose viewer has left: no answer is owed any more.
+func (l *Loop) gone(s *session) {
+	if s.phase == over {
+		return
+	}
+	if !s.answered {
+		l.counts.Gone++
+		l.settleAnswer(s, nil)
+	}
+	l.tell(policy.Gone{ID: s.id})
+	if s.leg != nil {
+		l.callOff(s.leg)
+		l.legEnds(s.leg, fateCalledOff, nil)
+	} else {
+		l.closeSession(s)
+	}
+}
+
+// Answers.
+
+// settleAnswer marks a session's answer as given, or as no longer owed where there is none.
+func (l *Loop) settleAnswer(s *session, answer *wire.Session) {
+	s.answered = true
+	l.owed--
+	l.timers.remove(s.answer)
+	s.answer = nil
+	if answer == nil || s.conn == nil {
+		return
+	}
+	answer.ID, answer.Session = s.request, s.name
+	if r := s.conn.requests[s.request]; r != nil {
+		r.answer = answer
+	}
+	l.do(TellPlayer{s.conn.number, *answer})
+}
+
+func (l *Loop) nack(s *session, backoff time.Duration, why string) {
+	l.counts.Nacked++
+	l.settleAnswer(s, &wire.Session{Type: wire.Nack, Backoff: backoff.Milliseconds(), Why: why})
+}
+
+func (l *Loop) errored(s *session, why string) {
+	l.counts.Errored++
+	l.settleAnswer(s, &wire.Session{Type: wire.Errored, Why: why})
+}
+
+func (l *Loop) plays(s *session) wire.Session {
+	return wire.Session{
+		Type: wire.Plays, ID: s.request, Session: s.name, Node: s.leg.node.name, Address: s.leg.node.address,
+		Ticket: s.name, Rung: s.rung,
+	}
+}
+
+// tellPlays answers a request for a session that already plays.
+func (l *Loop) tellPlays(s *session) {
+	answer := l.plays(s)
+	s.conn.requests[s.request].answer = &answer
+	l.do(TellPlayer{s.conn.number, answer})
+}
+
+// answerOverdue gives a session the answer that its time leaves. The module answers before; this holds
+// where it did not, and where a viewer came again with less time than before.
+func (l *Loop) answerOverdue(s *session) {
+	if s.answered || s.phase == over {
+		return
+	}
+	if s.leg != nil {
+		l.legOverdue(s.leg) // the module decides what that means for the viewer
+		if s.answered {
+			return
+		}
+	}
+	l.counts.Overdue++
+	l.errored(s, "no answer in time")
+	l.gone(s)
+}
+
+// over tells a player that its session has ended.
+func (l *Loop) over(s *session, why string) {
+	if s.conn != nil {
+		l.do(TellPlayer{s.conn.number, wire.Session{Type: wire.Over, ID: s.request, Session: s.name, Why: why}})
+	}
+}
+
+// closeSession takes a session off the books once it has no leg any more.
+func (l *Loop) closeSession(s *session) {
+	if s.leg != nil || s.phase == over {
+		return
+	}
+	l.move(s, over)
+	l.unhand(s)
+	l.timers.remove(s.answer)
+	l.timers.remove(s.linger)
+	delete(l.sessions, s.id)
+	if l.keys[s.key] == s {
+		delete(l.keys, s.key)
+	}
+	if l.stop != nil && l.owed == 0 && l.playing == 0 {
+		l.timers.add(l.now, timerClose, 0)
+	}
+}
+
+// Legs.
+
+func (l *Loop) dispatch(a policy.Dispatch) {
+	s := l.sessions[a.ID]
+	n := l.nodes[a.Node]
+	if s == nil || s.answered || s.leg != nil || n == nil {
+		// What can't be carried out comes back as what is true of it: it was never sent.
+		l.counts.Stray++
+		l.tell(policy.Result{ID: a.ID, Node: a.Node, Outcome: policy.Moot, Final: s == nil || s.answered, Load: policy.NoLoad})
+		return
+	}
+	l.lastLeg++
+	g := &leg{id: l.lastLeg, session: s, node: n, stop: s.stop}
+	if a.Within > 0 {
+		g.stop = min(g.stop, l.now+a.Within)
+	}
+	s.leg = g
+	s.legs++
+	l.counts.Legs++
+	if s.legs > 1 {
+		l.counts.Further++
+	}
+	l.legs[g.id], n.legs[g.id] = g, g
+	l.move(s, setting)
+	g.late = l.timers.add(g.stop, timerLeg, g.id)
+	switch {
+	case n.up:
+		l.send(g)
+	case n.trying:
+	default:
+		l.legEnds(g, fateUnmade, nil)
+	}
+}
+
+// send hands a leg's set-up to its node's connection.
+func (l *Loop) send(g *leg) {
+	s := g.session
+	l.moveLeg(g, legSent)
+	l.do(TellNode{g.node.link, g.id, wire.Node{
+		Type: wire.Setup, Leg: g.id, Session: s.name, Tariff: l.tariffs[s.tariff].Name, Title: s.title,
+		Rung: s.rung, Rate: l.rateOf(s), Within: max(1, (g.stop - l.now).Milliseconds()), Length: s.length.Milliseconds(),
+	}})
+}
+
+func (l *Loop) rateOf(s *session) float64 {
+	return l.ladder.Rates[min(s.rung, len(l.ladder.Rates)-1)] * l.tariffs[s.tariff].Scale
+}
+
+func (l *Loop) rate(a policy.Rate) {
+	s := l.sessions[a.ID]
+	if s == nil || s.phase == over {
+		return
+	}
+	s.rung = a.Rung
+	if g := s.leg; g != nil && (g.phase == legSent || g.phase == legPlaying) {
+		l.do(TellNode{g.node.link, 0, wire.Node{Type: wire.Rung, Leg: g.id, Rung: s.rung, Rate: l.rateOf(s)}})
+	}
+	if s.phase == playing && s.conn != nil {
+		l.do(TellPlayer{s.conn.number, wire.Session{Type: wire.Rung, ID: s.request, Session: s.name, Rung: s.rung}})
+	}
+}
+
+// callOff takes a leg's set-up back if it can still be had, and tells the node to drop it if not.
+func (l *Loop) callOff(g *leg) {
+	if g.phase == legSent {
+		l.do(Withdraw{g.node.link, g.id})
+	}
+	if g.phase == legSent || g.phase == legPlaying {
+		l.do(TellNode{g.node.link, 0, wire.Node{Type: wire.End, Leg: g.id}})
+	}
+}
+
+// legOverdue ends a leg without an answer in time. One that plays has no time.
+func (l *Loop) legOverdue(g *leg) {
+	switch g.phase {
+	case legWaiting:
+		l.legEnds(g, fateUnmade, nil)
+	case legSent:
+		l.callOff(g)
+		l.legEnds(g, fateTimedOut, nil)
+	}
+}
+
+// accepted starts a session on its node.
+func (l *Loop) accepted(g *leg, load *wire.Load) {
+	s := g.session
+	if g.phase != legSent || s.answered {
+		l.counts.Late++ // twice, or for a session that has its answer
+		return
+	}
+	l.moveLeg(g, legPlaying)
+	l.timers.remove(g.late)
+	l.move(s, playing)
+	l.counts.Played++
+	answer := l.plays(s)
+	l.settleAnswer(s, &answer)
+	l.tell(policy.Accepted{ID: s.id})
+}
+
+// legEnds ends a leg, tells the module what is true of it, and the player if its session ends by it.
+func (l *Loop) legEnds(g *leg, f fate, load *wire.Load) {
+	if g.phase == legOver {
+		return
+	}
+	s, n := g.session, g.node
+	outcome, proof := neverRan(f)
+	if proof > 0 {
+		l.counts.NeverRan[proof]++
+	}
+	l.moveLeg(g, legOver)
+	l.timers.remove(g.late)
+	delete(l.legs, g.id)
+	delete(n.legs, g.id)
+	s.leg = nil
+	if s.phase == playing {
+		switch f {
+		case fateServed:
+			l.over(s, "ended")
+		case fateBroken, fateReset:
+			l.counts.Broken++
+			l.over(s, "node lost")
+		}
+	} else if !s.answered {
+		l.move(s, held)
+	}
+	final := s.answered
+	if final {
+		l.closeSession(s)
+	}
+	l.tell(policy.Result{ID: s.id, Node: n.name, Outcome: outcome, Final: final, Load: loadOf(load)})
+	l.dropNode(n)
+}
+
+// loadOf reads a node's report; what it does not tell is negative.
+func loadOf(r *wire.Load) policy.Load {
+	load := policy.NoLoad
+	if r == nil {
+		return load
+	}
+	for _, f := range []struct {
+		to   *float64
+		from *float64
+	}{{&load.Streams, r.Streams}, {&load.Link, r.Link}, {&load.Uplink, r.Uplink}} {
+		if f.from != nil {
+			*f.to = *f.from
+		}
+	}
+	return load
+}
--- /dev/null
+++ b/internal/director/director.go
@@ -0,0 +1,430 @@
+// Package director is a director's own loop: it takes what happened on its connections and what time it
+// is, keeps the account of every session and leg, asks the module (package policy) what is to be done, and
+// returns what is to be sent. It opens no socket, reads no clock and starts no goroutine, so the same loop
+// runs in the daemon, in virtual time and one step at a time in tests.
+//
+// A session's life, and a leg's, each of which is a small machine whose moves are counted:
+//
+//	session   held     taken, no leg out                -> setting, over
+//	          setting  a leg is out                     -> held, playing, over
+//	          playing  the viewer has its answer        -> over
+//	leg       waiting  its node is being connected to   -> sent, over
+//	          sent     set-up handed to the connection  -> playing, over
+//	          playing  the node has accepted            -> over
+//
+// A move that is not in the table is counted and logged once; the loop goes on with what is true.
+package director
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"time"
+
+	"fordusher/closing"
+	"fordusher/internal/wire"
+	"fordusher/policy"
+	"fordusher/reach"
+)
+
+// Input is something that happened: one of the types below that have an input method.
+type Input interface{ input() }
+
+// The inputs. Conn numbers a player's connection, Link one connection to a node; the caller picks both
+// numbers and never uses one twice.
+type (
+	// PlayerOpened says that a player has connected.
+	PlayerOpened struct{ Conn uint64 }
+	// PlayerSaid is a message from a player.
+	PlayerSaid struct {
+		Conn    uint64
+		Message wire.Session
+	}
+	// PlayerClosed says that a player's connection has ended.
+	PlayerClosed struct{ Conn uint64 }
+	// LinkMade says that a Connect succeeded.
+	LinkMade struct {
+		Node string
+		Link uint64
+	}
+	// LinkFailed says that a Connect failed; nothing was sent on it.
+	LinkFailed struct {
+		Node string
+		Link uint64
+	}
+	// LinkSaid is a message from a node.
+	LinkSaid struct {
+		Link    uint64
+		Message wire.Node
+	}
+	// LinkAlive says how long ago anything last came from a node.
+	LinkAlive struct {
+		Link  uint64
+		Quiet time.Duration
+	}
+	// PlayerAlive says how long ago anything last came from a player.
+	PlayerAlive struct {
+		Conn  uint64
+		Quiet time.Duration
+	}
+	// LinkLost says that a connection to a node has ended. Unsent are the legs whose set-up was never
+	// handed to the kernel, not one byte of it.
+	LinkLost struct {
+		Link   uint64
+		Unsent []uint64
+	}
+	// Withdrawn says that a leg's set-up was taken back before one byte of it was handed to the kernel.
+	Withdrawn struct{ Leg uint64 }
+	// ListOpened says that the list's source is connected.
+	ListOpened struct{}
+	// ListSaid is a message from the list.
+	ListSaid struct{ Message wire.List }
+	// ListLost says that the list's source is gone; the last list stays in force.
+	ListLost struct{}
+	// Tick says that the time asked for by Next has come.
+	Tick struct{}
+	// Stop orders the director to end as package closing decides.
+	Stop struct{}
+)
+
+func (PlayerOpened) input() {}
+func (PlayerSaid) input()   {}
+func (PlayerClosed) input() {}
+func (LinkMade) input()     {}
+func (LinkFailed) input()   {}
+func (LinkSaid) input()     {}
+func (LinkAlive) input()    {}
+func (PlayerAlive) input()  {}
+func (LinkLost) input()     {}
+func (Withdrawn) input()    {}
+func (ListOpened) input()   {}
+func (ListSaid) input()     {}
+func (ListLost) input()     {}
+func (Tick) input()         {}
+func (Stop) input()         {}
+
+// Output is something to be done: one of the types below that have an output method.
+type Output interface{ output() }
+
+// The outputs.
+type (
+	// TellPlayer sends a message to a player.
+	TellPlayer struct {
+		Conn    uint64
+		Message wire.Session
+	}
+	// ClosePlayer ends a player's connection, with the code of RFC 6455 and a reason.
+	ClosePlayer struct {
+		Conn uint64
+		Code int
+		Why  string
+	}
+	// Connect asks for a connection to a node; LinkMade or LinkFailed answers it within the time.
+	Connect struct {
+		Node, Address string
+		Link          uint64
+		Within        time.Duration
+	}
+	// TellNode sends a message to a node. Setup is the leg where the message sets one up, else 0.
+	TellNode struct {
+		Link    uint64
+		Setup   uint64
+		Message wire.Node
+	}
+	// Withdraw asks for a leg's set-up back, if not one byte of it was handed to the kernel yet;
+	// Withdrawn answers if it worked, nothing if not.
+	Withdraw struct{ Link, Leg uint64 }
+	// AskAlive pings a node; LinkAlive answers at once with how long it has been quiet.
+	AskAlive struct{ Link uint64 }
+	// AskPlayerAlive pings a player; PlayerAlive answers at once with how long it has been quiet.
+	AskPlayerAlive struct{ Conn uint64 }
+	// HangUp ends the connection to a node.
+	HangUp struct{ Link uint64 }
+	// TellList sends a message to the list's source.
+	TellList struct{ Message wire.List }
+	// Log is a line for those on call.
+	Log struct{ Words string }
+	// Ended says that a director ordered to stop has nothing left to do.
+	Ended struct{}
+)
+
+func (TellPlayer) output()     {}
+func (ClosePlayer) output()    {}
+func (Connect) output()        {}
+func (TellNode) output()       {}
+func (Withdraw) output()       {}
+func (AskAlive) output()       {}
+func (AskPlayerAlive) output() {}
+func (HangUp) output()         {}
+func (TellList) output()       {}
+func (Log) output()            {}
+func (Ended) output()          {}
+
+// Tariff is a tariff under the name that players give it.
+type Tariff struct {
+	Name string
+	policy.Tariff
+}
+
+// Manners are how a director treats connections.
+type Manners struct {
+	AnswerAhead   time.Duration // an answer is sent this long before the viewer's time is up
+	Linger        time.Duration // a session outlives its player's connection so long
+	Connect       time.Duration // longest try to connect to a node
+	Ping          time.Duration // a node is asked for a sign of life so often; after three without one it counts as lost
+	PingPlayers   time.Duration // the same for players
+	PerConnection int           // sessions that one player's connection may have
+}
+
+// Decider is what the loop asks about sessions: the module, or a baseline to measure it against.
+type Decider interface {
+	Step(now time.Duration, happened policy.Event) []policy.Action
+}
+
+// Loop is one director.
+type Loop struct {
+	name    string
+	boot    string // tells this run of the director from others, in the names of sessions
+	module  Decider
+	tariffs []Tariff
+	tariff  map[string]int
+	kind    map[string]int
+	ladder  policy.Ladder
+	manners Manners
+	term    closing.Term
+	reach   *reach.Reach
+
+	now     time.Duration
+	out     []Output
+	pending []policy.Event // what the module is still to be told in this step
+	telling bool
+	timers  timers
+
+	conns    map[uint64]*conn    // emptied as connections close
+	sessions map[uint64]*session // emptied as sessions end and their last leg with them
+	keys     map[string]*session // emptied as sessions end
+	legs     map[uint64]*leg     // emptied as legs end
+	nodes    map[string]*node    // emptied as nodes leave the list and their last leg ends
+	links    map[uint64]*node    // emptied as links end
+	places   []*node             // by small index, for reach; a place is used again
+	free     []int
+	titles   map[string]title // as long as the list's catalogue
+
+	lastSession, lastLeg, lastLink uint64
+
+	owed, playing int
+	stop          *closing.Closing
+	ended         bool
+	counts        Counts
+	oddMove       bool
+}
+
+// New starts a director. Boot is a word that no other run of this director has used.
+func New(name, boot string, seed uint64, module Decider, tariffs []Tariff, kinds []string,
+	ladder policy.Ladder, manners Manners, pace reach.Pace, term closing.Term) *Loop {
+	l := &Loop{
+		name: name, boot: boot, module: module, tariffs: tariffs, ladder: ladder, manners: manners, term: term,
+		tariff: map[string]int{}, kind: map[string]int{}, reach: reach.New(seed, pace),
+		conns: map[uint64]*conn{}, sessions: map[uint64]*session{}, keys: map[string]*session{},
+		legs: map[uint64]*leg{}, nodes: map[string]*node{}, links: map[uint64]*node{},
+		titles: map[string]title{},
+	}
+	for i, t := range tariffs {
+		l.tariff[t.Name] = i
+	}
+	for i, k := range kinds {
+		l.kind[k] = i
+	}
+	return l
+}
+
+// Counts are what a director has done since it started.
+type Counts struct {
+	Taken, Played, Nacked, Errored, Gone   uint64 // requests, and how they ended
+	Repeated, Adopted, Closing             uint64 // requests answered as before; sessions found again; turned away by a stop
+	Legs, Further                          uint64 // set-ups sent, and those beyond a session's first
+	NeverRan                               [len(proofWords)]uint64
+	Overdue, OddMove, Stray, Late, BadWord uint64
+	Broken                                 uint64 // sessions that played and lost their node
+}
+
+// Counts returns what was counted, and what there is now.
+func (l *Loop) Counts() (c Counts, owed, playing, legs, links int) {
+	return l.counts, l.owed, l.playing, len(l.legs), len(l.links)
+}
+
+// Next is when Step wants a Tick at the latest.
+func (l *Loop) Next() time.Duration {
+	if t := l.timers.first(); t != nil && !l.ended {
+		return t.at
+	}
+	return math.MaxInt64
+}
+
+// Step takes what happened at a time, works off what is due, and returns what is to be done, in order.
+// What happened comes before what is due, so an answer that is there when its time runs out still counts.
+func (l *Loop) Step(now time.Duration, in Input) []Output {
+	l.now, l.out = max(now, l.now), l.out[:0]
+	if l.ended {
+		return nil
+	}
+	switch e := in.(type) {
+	case PlayerOpened:
+		l.conns[e.Conn] = &conn{number: e.Conn, requests: map[string]*request{},
+			ping: l.timers.add(l.now+l.manners.PingPlayers, timerPlayer, e.Conn)}
+	case PlayerSaid:
+		l.playerSaid(e)
+	case PlayerClosed:
+		l.playerClosed(e.Conn)
+	case PlayerAlive:
+		if l.conns[e.Conn] != nil && e.Quiet > pingsMissed*l.manners.PingPlayers {
+			l.do(ClosePlayer{e.Conn, 1008, "no sign of life"})
+			l.playerClosed(e.Conn)
+		}
+	case LinkMade:
+		l.linkMade(e)
+	case LinkFailed:
+		l.linkFailed(e)
+	case LinkSaid:
+		l.linkSaid(e)
+	case LinkAlive:
+		l.linkAlive(e)
+	case LinkLost:
+		l.linkLost(e)
+	case Withdrawn:
+		if g := l.legs[e.Leg]; g != nil && g.phase == legSent {
+			l.legEnds(g, fateWithdrawn, nil)
+		}
+	case ListOpened:
+		l.do(TellList{wire.List{Type: wire.Listen, Director: l.name}})
+	case ListSaid:
+		l.listSaid(e.Message)
+	case ListLost:
+	case Stop:
+		if l.stop == nil {
+			l.stop = closing.Begin(l.now, l.term)
+			l.log("closing: %d answers owed, %d sessions play, ended within %v", l.owed, l.playing, l.term.Within)
+			l.close()
+		}
+	case Tick:
+	}
+	l.due()
+	return l.out
+}
+
+func (l *Loop) do(o Output) { l.out = append(l.out, o) }
+
+func (l *Loop) log(format string, figures ...any) { l.do(Log{fmt.Sprintf(format, figures...)}) }
+
+// due works off the timers whose time has come, the oldest first: after a stall of the process the
+// longest overdue is settled first.
+func (l *Loop) due() {
+	for t := l.timers.first(); t != nil && t.at <= l.now && !l.ended; t = l.timers.first() {
+		l.timers.pop()
+		switch t.kind {
+		case timerRing:
+			l.tell(policy.Ring{})
+		case timerLeg:
+			if g := l.legs[t.id]; g != nil {
+				l.legOverdue(g)
+			}
+		case timerAnswer:
+			if s := l.sessions[t.id]; s != nil {
+				l.answerOverdue(s)
+			}
+		case timerLinger:
+			if s := l.sessions[t.id]; s != nil {
+				l.gone(s)
+			}
+		case timerReach:
+			l.reached(reach.Event{What: reach.Ring})
+		case timerPing:
+			if n := l.links[t.id]; n != nil && n.up {
+				l.do(AskAlive{t.id})
+				n.ping = l.timers.add(l.now+l.manners.Ping, timerPing, t.id)
+			}
+		case timerPlayer:
+			if c := l.conns[t.id]; c != nil {
+				l.do(AskPlayerAlive{t.id})
+				c.ping = l.timers.add(l.now+l.manners.PingPlayers, timerPlayer, t.id)
+			}
+		case timerClose:
+			l.close()
+		}
+	}
+}
+
+// tell hands the module an event and carries out its answer. What becomes true while that is done is
+// told once it is done, in order: the module is never asked within its own answer.
+func (l *Loop) tell(e policy.Event) {
+	l.pending = append(l.pending, e)
+	if l.telling {
+		return
+	}
+	l.telling = true
+	for len(l.pending) > 0 {
+		next := l.pending[0]
+		l.pending = l.pending[1:]
+		for _, a := range l.module.Step(l.now, next) {
+			l.carryOut(a)
+		}
+	}
+	l.pending, l.telling = l.pending[:0], false
+}
+
+// carryOut does what the module has decided.
+func (l *Loop) carryOut(a policy.Action) {
+	switch a := a.(type) {
+	case policy.Dispatch:
+		l.dispatch(a)
+	case policy.Rate:
+		l.rate(a)
+	case policy.Nack:
+		if s := l.sessions[a.ID]; s != nil && !s.answered {
+			l.nack(s, a.Backoff, "no room")
+			l.closeSession(s)
+		}
+	case policy.Fail:
+		if s := l.sessions[a.ID]; s != nil && !s.answered {
+			l.errored(s, "set-up did not succeed")
+			l.closeSession(s)
+		}
+	case policy.Schedule:
+		l.timers.add(a.At, timerRing, 0)
+	case policy.Listen:
+		l.do(TellList{wire.List{Type: wire.Listen, Director: l.name}})
+	case policy.Log:
+		l.do(Log{a.Words})
+	}
+}
+
+// close works on a stop under way.
+func (l *Loop) close() {
+	plan := l.stop.Step(l.now, closing.Left{Owed: l.owed, Playing: l.playing})
+	if plan.Done {
+		l.ended = true
+		for conn := range sorted(l.conns) {
+			l.do(ClosePlayer{conn, 1001, "director closes"})
+		}
+		l.do(Ended{})
+		return
+	}
+	if plan.End > 0 || plan.GiveUp {
+		for _, s := range sorted(l.sessions) {
+			switch {
+			case s.phase == playing && plan.End > 0:
+				plan.End--
+				l.over(s, "director closes")
+				l.gone(s)
+			case s.phase != playing && plan.GiveUp && !s.answered:
+				l.answerOverdue(s)
+			}
+		}
+	}
+	l.timers.add(plan.Again, timerClose, 0)
+}
+
+// sessionName is a session's name for players and nodes.
+func (l *Loop) sessionName(id uint64) string {
+	return l.name + "." + l.boot + "." + strconv.FormatUint(id, 36)
+}
--- /dev/null
+++ b/internal/director/nodes.go
@@ -0,0 +1,352 @@
+package director
+
+import (
+	"hash/fnv"
+	"iter"
+	"maps"
+	"slices"
+	"time"
+
+	"fordusher/internal/wire"
+	"fordusher/policy"
+	"fordusher/reach"
+)
+
+// A node is one that the list names, or has named and that still has legs.
+type node struct {
+	name    string
+	address string
+	dialled string // the address that is being connected to
+	place   int
+	listed  bool
+	open    bool   // it may take sessions
+	start   uint64 // which start of it this is
+	born    time.Duration
+	trying  bool // being connected to
+	up      bool // connected
+	link    uint64
+	reached uint64       // the start that the connection was made to; 0: not told yet
+	entry   policy.Entry // as the module last heard it
+	ping    *timer
+	legs    map[uint64]*leg // emptied as legs end
+}
+
+type title struct {
+	id           uint64
+	base, copies int
+}
+
+// pingsMissed is how many signs of life a node may owe before it counts as lost.
+const pingsMissed = 3
+
+// sorted goes through a map by its keys' order, so that the same inputs give the same outputs.
+func sorted[K interface {
+	~string | ~uint64
+}, V any](m map[K]V) iter.Seq2[K, V] {
+	return func(yield func(K, V) bool) {
+		for _, k := range slices.Sorted(maps.Keys(m)) {
+			if v, ok := m[k]; ok && !yield(k, v) {
+				return
+			}
+		}
+	}
+}
+
+// reached tells package reach what happened and carries out its plan.
+func (l *Loop) reached(e reach.Event) {
+	plan := l.reach.Step(l.now, e)
+	for _, place := range plan.Dial {
+		n := l.places[place]
+		l.lastLink++
+		n.link, n.trying, n.dialled = l.lastLink, true, n.address
+		l.links[n.link] = n
+		l.do(Connect{n.name, n.address, n.link, l.manners.Connect})
+	}
+	if plan.Ring > 0 {
+		l.timers.add(plan.Ring, timerReach, 0)
+	}
+}
+
+func (l *Loop) linkMade(e LinkMade) {
+	n := l.links[e.Link]
+	if n == nil || n.link != e.Link {
+		l.do(HangUp{e.Link})
+		return
+	}
+	n.trying, n.up = false, true
+	n.ping = l.timers.add(l.now+l.manners.Ping, timerPing, e.Link)
+	l.do(TellNode{e.Link, 0, wire.Node{Type: wire.Hello, Director: l.name}})
+	l.reached(reach.Event{Node: n.place, What: reach.Made})
+	if n.dialled != n.address { // the list has moved it meanwhile
+		l.do(HangUp{e.Link})
+		l.linkLost(LinkLost{Link: e.Link})
+		return
+	}
+	for _, g := range sorted(n.legs) {
+		if g.phase != legWaiting {
+			continue
+		}
+		if n.open {
+			l.send(g)
+		} else { // the list has taken it off meanwhile
+			l.legEnds(g, fateUnmade, nil)
+		}
+	}
+	l.dropNode(n)
+}
+
+func (l *Loop) linkFailed(e LinkFailed) {
+	n := l.links[e.Link]
+	if n == nil {
+		return
+	}
+	delete(l.links, e.Link)
+	n.trying = false
+	l.reached(reach.Event{Node: n.place, What: reach.Failed})
+	for _, g := range sorted(n.legs) {
+		if g.phase == legWaiting {
+			l.legEnds(g, fateUnmade, nil)
+		}
+	}
+	l.dropNode(n)
+}
+
+func (l *Loop) linkLost(e LinkLost) {
+	n := l.links[e.Link]
+	if n == nil {
+		return
+	}
+	delete(l.links, e.Link)
+	n.up, n.reached = false, 0
+	l.timers.remove(n.ping)
+	if n.listed {
+		l.reached(reach.Event{Node: n.place, What: reach.Lost})
+	} else {
+		l.reached(reach.Event{Node: n.place, What: reach.Unlisted})
+	}
+	for _, g := range sorted(n.legs) {
+		switch {
+		case g.phase == legSent && slices.Contains(e.Unsent, g.id):
+			l.legEnds(g, fateUnsent, nil)
+		case g.phase == legSent:
+			l.legEnds(g, fateReset, nil)
+		case g.phase == legPlaying:
+			l.legEnds(g, fateBroken, nil)
+		}
+	}
+	l.dropNode(n)
+}
+
+// linkAlive hangs up on a node that has been quiet for too long: a connection may die without a word.
+func (l *Loop) linkAlive(e LinkAlive) {
+	if n := l.links[e.Link]; n != nil && n.up && e.Quiet > pingsMissed*l.manners.Ping {
+		l.log("node %s has been quiet for %v: its connection is given up, %d legs with it", n.name,
+			e.Quiet.Round(time.Millisecond), len(n.legs))
+		l.do(HangUp{e.Link})
+		l.linkLost(LinkLost{Link: e.Link})
+	}
+}
+
+func (l *Loop) linkSaid(e LinkSaid) {
+	n, m := l.links[e.Link], e.Message
+	if n == nil {
+		return
+	}
+	if m.Type == wire.Hello {
+		l.hello(n, m)
+		return
+	}
+	g := l.legs[m.Leg]
+	if g == nil || g.node != n {
+		l.counts.Stray++
+		if m.Type == wire.Accepted { // it plays for nobody
+			l.do(TellNode{e.Link, 0, wire.Node{Type: wire.End, Leg: m.Leg}})
+		}
+		return
+	}
+	switch m.Type {
+	case wire.Accepted:
+		l.accepted(g, m.Load)
+	case wire.Full:
+		if g.phase == legPlaying { // it has said that it plays: no proof of the opposite
+			l.counts.Late++
+			l.legEnds(g, fateBroken, m.Load)
+			return
+		}
+		l.legEnds(g, fateFull, m.Load)
+	case wire.Failed:
+		if g.phase == legPlaying {
+			l.legEnds(g, fateBroken, m.Load)
+			return
+		}
+		l.legEnds(g, fateFailed, m.Load)
+	case wire.Ended:
+		switch {
+		case g.phase != legPlaying:
+			l.legEnds(g, fateFailed, m.Load)
+		case m.Why == "lost":
+			l.legEnds(g, fateBroken, m.Load)
+		default:
+			l.legEnds(g, fateServed, m.Load)
+		}
+	case wire.Note:
+		l.tell(policy.Note{ID: g.session.id, Node: n.name, Kind: policy.NoteKind(m.Kind), Value: m.Value})
+	default:
+		l.counts.BadWord++
+	}
+}
+
+// hello takes a node's own word on its start, which may come before the list's: a node that has just
+// started is cold.
+func (l *Loop) hello(n *node, m wire.Node) {
+	n.reached = m.Start
+	if m.Start == 0 || m.Start == n.start || !n.listed {
+		return
+	}
+	n.start = m.Start
+	if m.Age > 0 {
+		n.born = l.now - time.Duration(m.Age)*time.Millisecond
+		n.entry.Born = n.born
+		l.tell(policy.Roster{Kind: policy.Update, Entries: []policy.Entry{n.entry}})
+	}
+}
+
+// The list.
+
+var states = map[string]policy.NodeState{
+	wire.Up: policy.Up, wire.Draining: policy.Draining, wire.Removed: policy.Removed,
+}
+
+func (l *Loop) listSaid(m wire.List) {
+	kind := policy.Update
+	switch m.Type {
+	case wire.Whole:
+		kind = policy.Replace
+		named := map[string]bool{}
+		for _, e := range m.Nodes {
+			named[e.Node] = true
+		}
+		for name, n := range sorted(l.nodes) {
+			if !named[name] {
+				l.unlist(n)
+			}
+		}
+		clear(l.titles)
+	case wire.Update:
+	default:
+		l.counts.BadWord++
+		return
+	}
+	for _, t := range m.Titles {
+		if t.Copies == 0 {
+			delete(l.titles, t.Title)
+			continue
+		}
+		l.titles[t.Title] = title{titleID(t.Title), t.Base, t.Copies}
+	}
+	roster := policy.Roster{Kind: kind}
+	for _, e := range m.Nodes {
+		roster.Entries = append(roster.Entries, l.entry(e))
+	}
+	l.tell(roster)
+	for _, n := range sorted(l.nodes) {
+		if !n.open {
+			l.recall(n)
+		}
+		l.dropNode(n)
+	}
+	l.do(TellList{wire.List{Type: wire.Heard, Director: l.name, Serial: m.Serial}})
+}
+
+// titleID is a title's number for the module: the same for as long as anyone may hold a seat of it.
+func titleID(name string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(name))
+	return h.Sum64()
+}
+
+// entry takes a node's line of the list into the books and puts it into the module's words.
+func (l *Loop) entry(e wire.Entry) policy.Entry {
+	n := l.nodes[e.Node]
+	if n == nil && e.State != wire.Removed {
+		n = &node{name: e.Node, born: policy.LongAgo, legs: map[uint64]*leg{}}
+		if k := len(l.free); k > 0 {
+			n.place, l.free = l.free[k-1], l.free[:k-1]
+			l.places[n.place] = n
+		} else {
+			n.place = len(l.places)
+			l.places = append(l.places, n)
+		}
+		l.nodes[n.name] = n
+	}
+	kind, known := l.kind[e.Kind]
+	if !known {
+		kind = len(l.kind) // no such machine is known: the module takes the least for granted
+	}
+	out := policy.Entry{
+		Node: e.Node, State: states[e.State], Kind: kind, Zone: e.Zone, Born: policy.LongAgo, Weight: e.Weight, Cell: e.Cell,
+	}
+	if n == nil {
+		return out
+	}
+	anew := !n.listed || e.Start != n.start || e.Address != n.address && e.Address != ""
+	if anew && e.Age > 0 {
+		n.born = l.now - time.Duration(e.Age)*time.Millisecond
+	}
+	out.Born = n.born
+	n.start, n.open, n.entry = e.Start, e.State == wire.Up, out
+	switch {
+	case e.State == wire.Removed:
+		l.unlist(n)
+	case anew:
+		moved := e.Address != n.address && e.Address != ""
+		if n.up && (moved || n.reached != 0 && n.reached != e.Start) {
+			l.do(HangUp{n.link}) // it leads to what no longer runs
+			l.linkLost(LinkLost{Link: n.link})
+		}
+		n.listed = true
+		if moved {
+			n.address = e.Address
+		}
+		if !n.up {
+			l.reached(reach.Event{Node: n.place, What: reach.Listed})
+		}
+	}
+	return out
+}
+
+func (l *Loop) unlist(n *node) {
+	n.open = false
+	if n.listed {
+		n.listed = false
+		if !n.up { // else once the connection ends
+			l.reached(reach.Event{Node: n.place, What: reach.Unlisted})
+		}
+	}
+}
+
+// recall takes back what is on its way to a node that no longer takes sessions: what is not handed over
+// yet is never sent, and counts as never run.
+func (l *Loop) recall(n *node) {
+	for _, g := range sorted(n.legs) {
+		switch g.phase {
+		case legWaiting:
+			l.legEnds(g, fateUnmade, nil)
+		case legSent:
+			l.do(Withdraw{n.link, g.id})
+		}
+	}
+}
+
+// dropNode forgets a node that is off the list once its last leg has ended.
+func (l *Loop) dropNode(n *node) {
+	if n.listed || len(n.legs) > 0 || n.trying || l.nodes[n.name] != n {
+		return
+	}
+	delete(l.nodes, n.name)
+	l.free = append(l.free, n.place)
+	if n.up {
+		l.do(HangUp{n.link})
+		l.linkLost(LinkLost{Link: n.link})
+	}
+}
--- /dev/null
+++ b/internal/standin/node/farm.go
@@ -0,0 +1,523 @@
+// Package node is the stand-in for media nodes: a model of nodes, their links and their racks' uplinks that
+// does no I/O and has no clock (Farm), and a host that puts it behind real sockets (Host).
+package node
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"fordusher/internal/wire"
+)
+
+// Machine is one node as it is built.
+type Machine struct {
+	Name   string        `json:"name"`
+	Kind   string        `json:"kind"`
+	Rack   int           `json:"rack"`
+	Places int           `json:"places"`  // streams that it runs at most
+	Link   float64       `json:"link_kb"` // kB a second
+	Cores  int           `json:"cores"`   // set-ups worked on at one time
+	Work   time.Duration `json:"work"`    // of one core for a set-up
+}
+
+// Site is what all nodes have in common.
+type Site struct {
+	Uplinks     []float64     `json:"uplinks_kb"`   // of the racks, kB a second
+	RefusesFrom float64       `json:"refuses_from"` // a node answers full from so much of its link asked; 0: never
+	Warmup      time.Duration `json:"warmup"`
+	ColdFrom    float64       `json:"cold_from"`
+	Multiple    float64       `json:"multiple"`
+	TipAfter    time.Duration `json:"tip_after"`
+	Late        time.Duration `json:"late"`    // of notes
+	Every       time.Duration `json:"every"`   // between notes of links
+	Refresh     time.Duration `json:"refresh"` // of the load in answers
+}
+
+// Fault is something done to a node, or to all nodes' links and a rack's uplink. What it does not name
+// stays as it is.
+type Fault struct {
+	Node      string   `json:"node,omitempty"`
+	Rack      *int     `json:"rack,omitempty"`
+	Hang      *bool    `json:"hang,omitempty"`       // takes work, answers nothing
+	Slow      *float64 `json:"slow,omitempty"`       // set-ups take so many times as long
+	Fail      *float64 `json:"fail,omitempty"`       // share of set-ups that fail at once
+	Lose      *float64 `json:"lose,omitempty"`       // share of answers that get lost
+	LoseReset bool     `json:"lose_reset,omitempty"` // the connection is reset instead of silence
+	Twice     *float64 `json:"twice,omitempty"`      // share of answers that come twice
+	Shrink    *float64 `json:"shrink,omitempty"`     // the link (or the rack's uplink) gives so many times less
+	Die       bool     `json:"die,omitempty"`        // the process ends, its connections are reset
+	Silent    *bool    `json:"silent,omitempty"`     // the machine falls silent, or comes back
+	Start     bool     `json:"start,omitempty"`      // a process starts, cold
+}
+
+// An Out is a message to a director, or, with Cut, the reset of its connection, or, with Fell, word that the
+// node was pushed over.
+type Out struct {
+	Node    string
+	Link    uint64
+	Message wire.Node
+	Cut     bool
+	Fell    bool
+}
+
+type stream struct {
+	link    uint64
+	leg     uint64
+	rate    float64
+	rung    int
+	plays   bool
+	ends    time.Duration // of a session, once it plays; 0: when called off
+	length  time.Duration
+	expires time.Duration // a set-up is not started later than this
+}
+
+type director struct {
+	link    uint64
+	next    time.Duration // note of link and uplink
+	nextPer time.Duration // note of the share delivered
+	short   bool          // the last one was under 0.98
+}
+
+type machine struct {
+	Machine
+	alive, silent bool
+	start         uint64
+	born          time.Duration // under 0: long ago
+	hung          bool
+	slow          float64
+	fail, lose    float64
+	loseReset     bool
+	twice         float64
+	shrink        float64
+	streams       map[[2]uint64]*stream // by link and leg
+	directors     []*director
+	free          []time.Duration // when each core is next free
+	sends         []time.Duration // set-ups within the tipping time
+	load          wire.Load       // as last refreshed
+	loadAt        time.Duration
+	held          []due // what would have happened while it hung
+}
+
+type dueKind int
+
+const (
+	dueSetup dueKind = iota
+	dueEnd
+	dueNote
+	dueTell
+)
+
+type due struct {
+	at   time.Duration
+	seq  uint64
+	kind dueKind
+	node *machine
+	key  [2]uint64
+	out  Out
+}
+
+// Farm is the model of all nodes of a place.
+type Farm struct {
+	site   Site
+	chance *rand.Rand
+	nodes  map[string]*machine
+	order  []*machine
+	racks  []rack
+	queue  []due // a heap by time
+	seq    uint64
+	now    time.Duration
+	out    []Out
+	starts uint64
+}
+
+type rack struct {
+	uplink float64
+	shrink float64
+}
+
+// NewFarm starts with warm nodes that run.
+func NewFarm(seed uint64, site Site, machines []Machine) *Farm {
+	f := &Farm{site: site, chance: rand.New(rand.NewPCG(seed, 1)), nodes: map[string]*machine{}}
+	for _, u := range site.Uplinks {
+		f.racks = append(f.racks, rack{u, 1})
+	}
+	for _, m := range machines {
+		n := &machine{Machine: m, alive: true, born: -1, slow: 1, shrink: 1, streams: map[[2]uint64]*stream{},
+			free: make([]time.Duration, max(1, m.Cores))}
+		f.starts++
+		n.start = f.starts
+		f.nodes[m.Name] = n
+		f.order = append(f.order, n)
+	}
+	return f
+}
+
+// Start tells which start a node is in, and how long ago that was (0: long ago).
+func (f *Farm) Start(now time.Duration, name string) (start uint64, age time.Duration) {
+	n := f.nodes[name]
+	if n.born < 0 {
+		return n.start, 0
+	}
+	return n.start, max(time.Millisecond, now-n.born)
+}
+
+// Next is when Step wants to be called at the latest; ok is false where nothing is due.
+func (f *Farm) Next() (at time.Duration, ok bool) {
+	if len(f.queue) == 0 {
+		return 0, false
+	}
+	return f.queue[0].at, true
+}
+
+func (f *Farm) push(d due) {
+	f.seq++
+	d.seq = f.seq
+	f.queue = append(f.queue, d)
+	for i := len(f.queue) - 1; i > 0; {
+		up := (i - 1) / 2
+		if !before(f.queue[i], f.queue[up]) {
+			break
+		}
+		f.queue[i], f.queue[up] = f.queue[up], f.queue[i]
+		i = up
+	}
+}
+
+func (f *Farm) pop() due {
+	top, last := f.queue[0], len(f.queue)-1
+	f.queue[0] = f.queue[last]
+	f.queue[last] = due{}
+	f.queue = f.queue[:last]
+	for i := 0; ; {
+		small := i
+		for _, c := range []int{2*i + 1, 2*i + 2} {
+			if c < last && before(f.queue[c], f.queue[small]) {
+				small = c
+			}
+		}
+		if small == i {
+			return top
+		}
+		f.queue[i], f.queue[small] = f.queue[small], f.queue[i]
+		i = small
+	}
+}
+
+func before(a, b due) bool { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.seq, b.seq)) < 0 }
+
+// Step works off what is due until now. The result is valid until the next call of any method.
+func (f *Farm) Step(now time.Duration) []Out {
+	f.out = f.out[:0]
+	f.advance(now)
+	return f.out
+}
+
+func (f *Farm) advance(now time.Duration) {
+	for len(f.queue) > 0 && f.queue[0].at <= now {
+		d := f.pop()
+		f.now = max(f.now, d.at)
+		f.happen(d)
+	}
+	f.now = max(f.now, now)
+}
+
+func (f *Farm) happen(d due) {
+	n := d.node
+	if n.hung {
+		n.held = append(n.held, d)
+		return
+	}
+	switch d.kind {
+	case dueTell:
+		f.out = append(f.out, d.out)
+	case dueSetup:
+		f.ready(n, d.key)
+	case dueEnd:
+		if s := n.streams[d.key]; s != nil && s.plays && s.ends <= f.now {
+			delete(n.streams, d.key)
+			f.tell(n, s.link, wire.Node{Type: wire.Ended, Leg: s.leg, Why: "done", Load: f.loadOf(n)})
+		}
+	case dueNote:
+		f.notes(n, d.key[0])
+	}
+}
+
+// Opened takes a new connection of a director.
+func (f *Farm) Opened(now time.Duration, node string, link uint64) []Out {
+	f.out = f.out[:0]
+	f.advance(now)
+	n := f.nodes[node]
+	n.directors = append(n.directors, &director{link: link, next: f.now + f.site.Every, nextPer: f.now + time.Second})
+	f.push(due{at: f.now + min(time.Second, max(time.Millisecond, f.site.Every)), kind: dueNote, node: n, key: [2]uint64{link}})
+	return f.out
+}
+
+// Closed ends a connection, and with it every stream of that director.
+func (f *Farm) Closed(now time.Duration, node string, link uint64) []Out {
+	f.out = f.out[:0]
+	f.advance(now)
+	n := f.nodes[node]
+	n.directors = slices.DeleteFunc(n.directors, func(d *director) bool { return d.link == link })
+	for k := range n.streams {
+		if k[0] == link {
+			delete(n.streams, k)
+		}
+	}
+	return f.out
+}
+
+// Said takes a director's message.
+func (f *Farm) Said(now time.Duration, node string, link uint64, m wire.Node) []Out {
+	f.out = f.out[:0]
+	f.advance(now)
+	n := f.nodes[node]
+	if !n.alive || n.silent {
+		return f.out
+	}
+	key := [2]uint64{link, m.Leg}
+	switch m.Type {
+	case wire.Hello:
+		hello := wire.Node{Type: wire.Hello, Start: n.start, Load: f.loadOf(n)}
+		if n.born >= 0 {
+			hello.Age = max(1, (f.now - n.born).Milliseconds())
+		}
+		f.tell(n, link, hello)
+	case wire.Setup:
+		f.setup(n, key, m)
+	case wire.Rung:
+		if s := n.streams[key]; s != nil {
+			s.rung, s.rate = m.Rung, m.Rate
+			if s.plays {
+				f.tell(n, link, wire.Node{Type: wire.Note, Leg: s.leg, Kind: 2, Value: float64(s.rung)})
+			}
+		}
+	case wire.End:
+		delete(n.streams, key)
+	}
+	return f.out
+}
+
+func (f *Farm) warmth(n *machine) float64 {
+	if n.born < 0 || f.now-n.born >= f.site.Warmup {
+		return 1
+	}
+	return f.site.ColdFrom + (1-f.site.ColdFrom)*float64(f.now-n.born)/float64(f.site.Warmup)
+}
+
+func (f *Farm) setup(n *machine, key [2]uint64, m wire.Node) {
+	if warmth := f.warmth(n); warmth < 1 {
+		n.sends = append(slices.DeleteFunc(n.sends, func(t time.Duration) bool { return t <= f.now-f.site.TipAfter }), f.now)
+		can := f.site.Multiple * float64(n.Places) / f.site.Warmup.Seconds() * warmth * f.site.TipAfter.Seconds()
+		if float64(len(n.sends)) > can+2 {
+			f.out = append(f.out, Out{Node: n.Name, Fell: true})
+			f.die(n)
+			return
+		}
+	}
+	link, _ := f.asked(n)
+	switch {
+	case n.fail > 0 && f.chance.Float64() < n.fail:
+		f.answer(n, key, wire.Node{Type: wire.Failed, Leg: key[1], Load: f.loadOf(n)})
+		return
+	case len(n.streams) >= n.Places, f.site.RefusesFrom > 0 && link >= f.site.RefusesFrom:
+		f.answer(n, key, wire.Node{Type: wire.Full, Leg: key[1], Load: f.loadOf(n)})
+		return
+	}
+	s := &stream{link: key[0], leg: key[1], rate: m.Rate, rung: m.Rung, length: time.Duration(m.Length) * time.Millisecond}
+	if m.Within > 0 {
+		s.expires = f.now + time.Duration(m.Within)*time.Millisecond
+	}
+	n.streams[key] = s
+	core := 0
+	for i, free := range n.free {
+		if free < n.free[core] {
+			core = i
+		}
+	}
+	work := time.Duration(float64(n.Work) * n.slow / f.warmth(n) * (0.8 + 0.4*f.chance.Float64()))
+	n.free[core] = max(n.free[core], f.now) + work
+	f.push(due{at: n.free[core], kind: dueSetup, node: n, key: key})
+}
+
+// ready starts a session whose set-up is done.
+func (f *Farm) ready(n *machine, key [2]uint64) {
+	s := n.streams[key]
+	if s == nil || s.plays {
+		return // called off meanwhile
+	}
+	if s.expires > 0 && f.now > s.expires {
+		delete(n.streams, key)
+		f.answer(n, key, wire.Node{Type: wire.Failed, Leg: s.leg, Load: f.loadOf(n)})
+		return
+	}
+	s.plays = true
+	if s.length > 0 {
+		s.ends = f.now + s.length
+		f.push(due{at: s.ends, kind: dueEnd, node: n, key: key})
+	}
+	f.answer(n, key, wire.Node{Type: wire.Accepted, Leg: s.leg, Load: f.loadOf(n)})
+	link, uplink := f.asked(n)
+	f.tell(n, s.link, wire.Node{Type: wire.Note, Leg: s.leg, Kind: 3, Value: link})
+	f.tell(n, s.link, wire.Node{Type: wire.Note, Leg: s.leg, Kind: 4, Value: uplink})
+}
+
+// answer tells how a set-up ended, unless that gets lost.
+func (f *Farm) answer(n *machine, key [2]uint64, m wire.Node) {
+	if n.lose > 0 && f.chance.Float64() < n.lose {
+		if n.loseReset {
+			f.out = append(f.out, Out{Node: n.Name, Link: key[0], Cut: true})
+		}
+		return
+	}
+	f.tell(n, key[0], m)
+	if n.twice > 0 && f.chance.Float64() < n.twice {
+		f.tell(n, key[0], m)
+	}
+}
+
+func (f *Farm) tell(n *machine, link uint64, m wire.Node) {
+	out := Out{Node: n.Name, Link: link, Message: m}
+	if n.hung {
+		n.held = append(n.held, due{kind: dueTell, node: n, out: out})
+		return
+	}
+	f.out = append(f.out, out)
+}
+
+// asked is what is asked of a node's link and of its rack's uplink, over what they give.
+func (f *Farm) asked(n *machine) (link, uplink float64) {
+	r := &f.racks[n.Rack]
+	for _, o := range f.order {
+		if o.Rack != n.Rack || !o.alive {
+			continue
+		}
+		for _, s := range o.streams {
+			uplink += s.rate
+			if o == n {
+				link += s.rate
+			}
+		}
+	}
+	return link / (n.Link / n.shrink), uplink / (r.uplink / r.shrink)
+}
+
+// share is the share of its rate that a session on a node gets: what is short on the link or the uplink
+// is shared evenly.
+func (f *Farm) share(n *machine) float64 {
+	link, uplink := f.asked(n)
+	return 1 / max(1, link, uplink)
+}
+
+func (f *Farm) loadOf(n *machine) *wire.Load {
+	if n.load.Link == nil || f.now >= n.loadAt+f.site.Refresh {
+		link, uplink := f.asked(n)
+		noisy := func(x float64) *float64 { return new(x * (0.95 + 0.1*f.chance.Float64())) }
+		n.load = wire.Load{Streams: new(float64(len(n.streams))), Link: noisy(link), Uplink: noisy(uplink)}
+		n.loadAt = f.now
+	}
+	load := n.load
+	return &load
+}
+
+// notes tells a director how a node of its sessions fares: late, on one session.
+func (f *Farm) notes(n *machine, link uint64) {
+	i := slices.IndexFunc(n.directors, func(d *director) bool { return d.link == link })
+	if i < 0 || !n.alive {
+		return
+	}
+	d := n.directors[i]
+	var on *stream
+	for _, s := range n.streams {
+		if s.link == link && s.plays && (on == nil || s.leg < on.leg) {
+			on = s
+		}
+	}
+	later := func(kind int, value float64) {
+		f.push(due{at: f.now + f.site.Late, kind: dueTell, node: n, out: Out{Node: n.Name, Link: link,
+			Message: wire.Node{Type: wire.Note, Leg: on.leg, Kind: kind, Value: value}}})
+	}
+	if on != nil && f.now >= d.nextPer {
+		d.nextPer = f.now + time.Second
+		share := f.share(n)
+		if share < 0.98 || d.short {
+			later(1, share)
+		}
+		d.short = share < 0.98
+	}
+	if on != nil && f.site.Every > 0 && f.now >= d.next {
+		d.next = f.now + f.site.Every
+		link, uplink := f.asked(n)
+		later(3, link)
+		later(4, uplink)
+	}
+	f.push(due{at: f.now + 250*time.Millisecond, kind: dueNote, node: n, key: [2]uint64{link}})
+}
+
+// Apply does a fault.
+func (f *Farm) Apply(now time.Duration, x Fault) []Out {
+	f.out = f.out[:0]
+	f.advance(now)
+	if x.Rack != nil && x.Shrink != nil {
+		f.racks[*x.Rack%len(f.racks)].shrink = *x.Shrink
+		return f.out
+	}
+	for _, n := range f.order {
+		if x.Node == "" || x.Node == n.Name {
+			f.apply(n, x)
+		}
+	}
+	return f.out
+}
+
+func (f *Farm) apply(n *machine, x Fault) {
+	set := func(to *float64, from *float64) {
+		if from != nil {
+			*to = *from
+		}
+	}
+	set(&n.slow, x.Slow)
+	set(&n.fail, x.Fail)
+	set(&n.lose, x.Lose)
+	set(&n.twice, x.Twice)
+	set(&n.shrink, x.Shrink)
+	if x.Lose != nil {
+		n.loseReset = x.LoseReset
+	}
+	if x.Hang != nil && n.hung != *x.Hang {
+		n.hung = *x.Hang
+		held := n.held
+		n.held = nil
+		for _, d := range held {
+			d.at = f.now
+			f.push(d)
+		}
+		f.advance(f.now)
+	}
+	if x.Die {
+		f.die(n)
+	}
+	if x.Silent != nil {
+		n.silent = *x.Silent
+	}
+	if x.Start {
+		f.die(n)
+		f.starts++
+		n.alive, n.silent, n.hung, n.start, n.born = true, false, false, f.starts, f.now
+		n.slow, n.fail, n.lose, n.twice, n.sends = 1, 0, 0, 0, nil
+		n.load = wire.Load{}
+	}
+}
+
+func (f *Farm) die(n *machine) {
+	for _, d := range n.directors {
+		f.out = append(f.out, Out{Node: n.Name, Link: d.link, Cut: true})
+	}
+	n.alive, n.directors, n.held = false, nil, nil
+	clear(n.streams)
+	clear(n.free)
+}
+
+// Streams counts a node's streams.
+func (f *Farm) Streams(name string) int { return len(f.nodes[name].streams) }
--- /dev/null
+++ b/internal/standin/node/host.go
@@ -0,0 +1,207 @@
+package node
+
+import (
+	"sync"
+	"time"
+
+	"fordusher/internal/transport"
+	"fordusher/internal/wire"
+	"fordusher/internal/witness"
+)
+
+// Host puts a farm behind sockets, one listener a node, and keeps the record of what crosses them.
+type Host struct {
+	mu      sync.Mutex // the farm, and what is below
+	farm    *Farm
+	began   time.Duration
+	servers map[string]*transport.Server
+	links   map[uint64]*transport.Conn // emptied as connections end
+	last    uint64
+	wake    chan struct{}
+	quit    chan struct{}
+	record  *witness.Recorder
+	silent  map[string]bool
+	fell    func(node string)
+}
+
+// bounds are the stand-in's own: it is generous, so that it is never what limits a director.
+var bounds = transport.Bounds{Message: wire.NodeMost, Queue: 16 << 20, Write: 5 * time.Second, Handshake: 10 * time.Second}
+
+// Open starts every node of a farm on a loopback port of its own. Fell is called when a node was pushed over.
+func Open(farm *Farm, record *witness.Recorder, fell func(node string)) (*Host, error) {
+	h := &Host{
+		farm: farm, began: witness.Clock(), servers: map[string]*transport.Server{}, links: map[uint64]*transport.Conn{},
+		wake: make(chan struct{}, 1), quit: make(chan struct{}), record: record, silent: map[string]bool{}, fell: fell,
+	}
+	for _, n := range farm.order {
+		s, err := transport.Serve("127.0.0.1:0", wire.NodeProtocol, bounds, &door{h, n.Name})
+		if err != nil {
+			h.Close()
+			return nil, err
+		}
+		h.servers[n.Name] = s
+	}
+	go h.run()
+	return h, nil
+}
+
+// Address is where a node listens.
+func (h *Host) Address(node string) string { return h.servers[node].Address() }
+
+// Start tells which start a node is in and how long ago that was.
+func (h *Host) Start(node string) (start uint64, age time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.farm.Start(h.now(), node)
+}
+
+// Close ends all nodes.
+func (h *Host) Close() {
+	close(h.quit)
+	for _, s := range h.servers {
+		s.Close()
+	}
+}
+
+func (h *Host) now() time.Duration { return witness.Clock() - h.began }
+
+func (h *Host) run() {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		h.mu.Lock()
+		h.carryOut(h.farm.Step(h.now()))
+		wait := time.Second
+		if at, ok := h.farm.Next(); ok {
+			wait = min(wait, max(0, at-h.now()))
+		}
+		h.mu.Unlock()
+		timer.Reset(wait)
+		select {
+		case <-h.quit:
+			return
+		case <-timer.C:
+		case <-h.wake:
+		}
+	}
+}
+
+// carryOut sends what the farm wants sent; the lock is held.
+func (h *Host) carryOut(outs []Out) {
+	for _, o := range outs {
+		if o.Fell {
+			h.record.Add(witness.Record{What: witness.Died, Node: o.Node, Why: "pushed over"})
+			if h.fell != nil {
+				go h.fell(o.Node)
+			}
+			h.servers[o.Node].Refusing(true)
+			continue
+		}
+		c := h.links[o.Link]
+		if c == nil {
+			continue
+		}
+		if o.Cut {
+			delete(h.links, o.Link)
+			go c.Reset()
+			continue
+		}
+		if h.silent[o.Node] {
+			continue
+		}
+		h.seen(o.Node, c, o.Link, o.Message)
+		c.Send(wire.Encode(o.Message), 0)
+	}
+	select {
+	case h.wake <- struct{}{}:
+	default:
+	}
+}
+
+// seen records a message that is sent or was received; notes and greetings prove nothing.
+func (h *Host) seen(node string, c *transport.Conn, link uint64, m wire.Node) {
+	switch m.Type {
+	case wire.Hello, wire.Note:
+		return
+	}
+	name, _ := c.Cookie().(string)
+	h.record.Add(witness.Record{
+		What: m.Type, Node: node, Conn: link, Director: name, Session: m.Session, Leg: m.Leg, Tariff: m.Tariff,
+		Title: m.Title, Rung: m.Rung, Within: time.Duration(m.Within) * time.Millisecond, Why: m.Why,
+	})
+}
+
+// Do does a fault: to the model and to the sockets.
+func (h *Host) Do(x Fault) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for name, s := range h.servers {
+		if x.Node != "" && x.Node != name {
+			continue
+		}
+		if x.Hang != nil { // a process that stands still greets nobody either
+			s.Silent(*x.Hang)
+		}
+		switch {
+		case x.Die:
+			h.record.Add(witness.Record{What: witness.Died, Node: name})
+			s.Refusing(true)
+		case x.Silent != nil && *x.Silent:
+			h.silent[name] = true
+			s.Silent(true)
+		case x.Start:
+			if h.silent[name] {
+				h.record.Add(witness.Record{What: witness.Died, Node: name, Why: "came back anew"})
+			}
+			delete(h.silent, name)
+			s.Silent(false)
+			s.Refusing(false)
+			h.record.Add(witness.Record{What: witness.Started, Node: name, Places: float64(h.farm.nodes[name].Places)})
+		}
+	}
+	h.carryOut(h.farm.Apply(h.now(), x))
+}
+
+// A door takes the connections of one node.
+type door struct {
+	h    *Host
+	node string
+}
+
+func (d *door) Opened(c *transport.Conn) {
+	d.h.mu.Lock()
+	defer d.h.mu.Unlock()
+	d.h.last++
+	d.h.links[d.h.last] = c
+	c.SetNumber(d.h.last)
+	c.SetCookie("")
+	d.h.carryOut(d.h.farm.Opened(d.h.now(), d.node, d.h.last))
+}
+
+func (d *door) Message(c *transport.Conn, raw []byte) {
+	m, err := wire.DecodeNode(raw)
+	if err != nil {
+		c.Close(1007, err.Error())
+		return
+	}
+	d.h.mu.Lock()
+	defer d.h.mu.Unlock()
+	if m.Type == wire.Hello {
+		c.SetCookie(m.Director)
+	}
+	d.h.seen(d.node, c, c.Number(), m)
+	if !d.h.silent[d.node] {
+		d.h.carryOut(d.h.farm.Said(d.h.now(), d.node, c.Number(), m))
+	}
+}
+
+func (d *door) Closed(c *transport.Conn, _ error, _ []uint64) {
+	d.h.mu.Lock()
+	defer d.h.mu.Unlock()
+	delete(d.h.links, c.Number())
+	if c.Number() == 0 {
+		return
+	}
+	d.h.record.Add(witness.Record{What: witness.Closed, Node: d.node, Conn: c.Number()})
+	d.h.carryOut(d.h.farm.Closed(d.h.now(), d.node, c.Number()))
+}
--- /dev/null
+++ b/internal/standin/player/player.go
@@ -0,0 +1,246 @@
+// Package player is the stand-in for players and the viewers before them: each connects, asks, waits as
+// long as it will, plays, leaves, and comes again as viewers do.
+package player
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"fordusher/internal/transport"
+	"fordusher/internal/wire"
+	"fordusher/internal/witness"
+)
+
+// Habit is how viewers behave.
+type Habit struct {
+	Returns   float64       `json:"returns"`   // share that come again after a break or a nack
+	PauseLow  time.Duration `json:"pause_low"` // before they do
+	PauseHigh time.Duration `json:"pause_high"`
+	Heeds     float64       `json:"heeds"`   // share that wait as long as a nack asks
+	Hasty     float64       `json:"hasty"`   // share that leave at some moment while they wait
+	Repeats   float64       `json:"repeats"` // share that send their request twice
+	Drops     float64       `json:"drops"`   // share whose connection breaks while they wait or play
+}
+
+// Viewer is one viewer's wish.
+type Viewer struct {
+	Number int
+	Tariff string
+	Paid   bool
+	Title  string
+	Key    string
+	Top    *int
+	Wait   time.Duration
+	Goal   time.Duration
+	Length time.Duration
+}
+
+// Crowd is all viewers of a day, and how they fared.
+type Crowd struct {
+	Habit  Habit
+	Record *witness.Recorder
+	Pick   func(r *rand.Rand) (name, address string) // of a director that viewers go to now
+	Ends   time.Time                                 // nobody comes again after it
+
+	conns   atomic.Uint64
+	mu      sync.Mutex
+	Tries   int             // requests
+	Agains  int             // of these, not the viewer's first
+	Latency []time.Duration // from request to "plays"
+	InGoal  map[string]int  // viewers per tariff who played within the goal time of their first try
+	Asked   map[string]int  // viewers per tariff
+}
+
+var bounds = transport.Bounds{Message: wire.SessionMost, Queue: 64 << 10, Write: time.Second, Handshake: time.Second}
+
+// A seat is a viewer's connection.
+type seat struct {
+	conn   *transport.Conn
+	number uint64
+	in     chan wire.Session
+	closed chan struct{}
+	ours   atomic.Bool
+	crowd  *Crowd
+	viewer int
+	name   string // of the director
+}
+
+func (s *seat) Opened(*transport.Conn) {}
+
+func (s *seat) Message(_ *transport.Conn, raw []byte) {
+	m, err := wire.DecodeSession(raw)
+	if err != nil {
+		return
+	}
+	switch m.Type {
+	case wire.Plays, wire.Nack, wire.Errored:
+		s.crowd.Record.Add(witness.Record{What: m.Type, Viewer: s.viewer, Conn: s.number, Director: s.name, ID: m.ID,
+			Session: m.Session, Node: m.Node, Rung: m.Rung, Why: m.Why})
+	}
+	select {
+	case s.in <- m:
+	default: // a stand-in that is busy elsewhere; the record has it
+	}
+}
+
+func (s *seat) Closed(_ *transport.Conn, _ error, _ []uint64) {
+	by := witness.ByPeer
+	if s.ours.Load() {
+		by = witness.ByUs
+	}
+	s.crowd.Record.Add(witness.Record{What: witness.Closed, Viewer: s.viewer, Conn: s.number, Director: s.name, By: by})
+	close(s.closed)
+}
+
+// leave ends the connection from the viewer's side.
+func (s *seat) leave() {
+	s.ours.Store(true)
+	s.conn.Close(1000, "bye")
+}
+
+// Watch is one viewer's whole evening: it ends when the viewer has watched to the end or has given up.
+func (c *Crowd) Watch(ctx context.Context, v Viewer, r *rand.Rand) {
+	c.mu.Lock()
+	if c.InGoal == nil {
+		c.InGoal, c.Asked = map[string]int{}, map[string]int{}
+	}
+	c.Asked[v.Tariff]++
+	c.mu.Unlock()
+	began := time.Now()
+	left := v.Length
+	key := 0 // a viewer whose connection broke asks for the same session again, any other for a new one
+	for try := 0; ; try++ {
+		end := c.try(ctx, v, r, try, fmt.Sprintf("%s-%d", v.Key, key), left, began)
+		left -= end.played
+		backoff := end.backoff
+		if !end.same {
+			key++
+		}
+		if !end.again || left < 200*time.Millisecond || r.Float64() >= c.Habit.Returns || time.Now().After(c.Ends) {
+			return
+		}
+		pause := c.Habit.PauseLow + time.Duration(r.Int64N(int64(max(1, c.Habit.PauseHigh-c.Habit.PauseLow))))
+		if backoff > 0 && r.Float64() < c.Habit.Heeds {
+			pause = max(pause, backoff)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+	}
+}
+
+// An ending is how a try ended.
+type ending struct {
+	played  time.Duration
+	backoff time.Duration // told by a nack
+	again   bool          // the viewer would come again,
+	same    bool          // for the same session
+}
+
+// try asks once.
+func (c *Crowd) try(ctx context.Context, v Viewer, r *rand.Rand, n int, key string, left time.Duration, began time.Time) ending {
+	name, address := c.Pick(r)
+	if address == "" {
+		return ending{again: true} // nobody there
+	}
+	s := &seat{number: c.conns.Add(1), in: make(chan wire.Session, 32), closed: make(chan struct{}), crowd: c, viewer: v.Number, name: name}
+	conn, err := transport.Dial(address, wire.SessionProtocol, time.Second, bounds, s, nil)
+	if err != nil {
+		return ending{again: true} // the director is not there: nothing was asked
+	}
+	s.conn = conn
+	defer s.leave()
+	id := strconv.Itoa(n + 1)
+	want := wire.Session{Type: wire.Want, ID: id, Tariff: v.Tariff, Title: v.Title, Key: key, Top: v.Top,
+		Wait: v.Wait.Milliseconds(), Length: left.Milliseconds(), Again: n > 0}
+	c.Record.Add(witness.Record{What: wire.Want, Viewer: v.Number, Conn: s.number, Director: name, ID: id, Tariff: v.Tariff,
+		Title: v.Title, Wait: v.Wait, Again: n > 0})
+	asked := time.Now()
+	conn.Send(wire.Encode(want), 0)
+	c.mu.Lock()
+	c.Tries++
+	if n > 0 {
+		c.Agains++
+	}
+	c.mu.Unlock()
+	if r.Float64() < c.Habit.Repeats {
+		c.Record.Add(witness.Record{What: wire.Want, Viewer: v.Number, Conn: s.number, Director: name, ID: id, Tariff: v.Tariff})
+		conn.Send(wire.Encode(want), 0)
+	}
+	patience := time.NewTimer(v.Wait + 400*time.Millisecond) // an answer that comes late is still seen
+	defer patience.Stop()
+	hasty := make(<-chan time.Time)
+	if r.Float64() < c.Habit.Hasty { // around the time of an answer, so that the two often cross
+		hasty = time.After(time.Duration(r.Int64N(int64(60 * time.Millisecond))))
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return ending{}
+		case <-s.closed:
+			return ending{again: true}
+		case <-hasty:
+			c.Record.Add(witness.Record{What: wire.Leave, Viewer: v.Number, Conn: s.number, Director: name, ID: id})
+			conn.Send(wire.Encode(wire.Session{Type: wire.Leave, ID: id}), 0)
+			select { // what crosses is still seen
+			case <-time.After(100 * time.Millisecond):
+			case <-s.closed:
+			}
+			return ending{}
+		case <-patience.C:
+			c.Record.Add(witness.Record{What: witness.GaveUp, Viewer: v.Number, Conn: s.number, Director: name, ID: id})
+			return ending{again: !v.Paid}
+		case m := <-s.in:
+			switch m.Type {
+			case wire.Nack:
+				return ending{backoff: time.Duration(m.Backoff) * time.Millisecond, again: true}
+			case wire.Errored:
+				return ending{again: !v.Paid}
+			case wire.Plays:
+				c.mu.Lock()
+				c.Latency = append(c.Latency, time.Since(asked))
+				if time.Since(began) <= v.Goal {
+					c.InGoal[v.Tariff]++
+				}
+				c.mu.Unlock()
+				return c.play(ctx, s, r, left)
+			}
+		}
+	}
+}
+
+// play watches until the session ends, one way or the other.
+func (c *Crowd) play(ctx context.Context, s *seat, r *rand.Rand, left time.Duration) ending {
+	began := time.Now()
+	end := time.NewTimer(left + time.Second) // the node ends it; this is for one that does not
+	defer end.Stop()
+	drop := make(<-chan time.Time)
+	if r.Float64() < c.Habit.Drops {
+		drop = time.After(time.Duration(r.Int64N(int64(left))))
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return ending{}
+		case <-s.closed:
+			return ending{played: time.Since(began), again: true}
+		case <-drop:
+			s.ours.Store(true)
+			s.conn.Reset()
+			return ending{played: time.Since(began), again: true, same: true}
+		case <-end.C:
+			return ending{played: left}
+		case m := <-s.in:
+			if m.Type == wire.Over {
+				return ending{played: time.Since(began), again: m.Why != "ended"}
+			}
+		}
+	}
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -86,6 +86,7 @@
 	client  bool // this side dialled: it masks, its peer does not
 	server  *Server
 	cookie  atomic.Value // the handler's own
+	number  atomic.Uint64
 
 	// Only the reading worker touches these.
 	open     bool
@@ -116,6 +117,12 @@
 // SetCookie stores the handler's own record of the connection; always of the same type.
 func (c *Conn) SetCookie(cookie any) { c.cookie.Store(cookie) }
 
+// Number is what SetNumber stored, 0 before that.
+func (c *Conn) Number() uint64 { return c.number.Load() }
+
+// SetNumber stores the handler's own number of the connection.
+func (c *Conn) SetNumber(n uint64) { c.number.Store(n) }
+
 // Peer is the other side's address.
 func (c *Conn) Peer() net.Addr { return c.np.RemoteAddr() }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -89,7 +89,9 @@
 	Rate     float64 `json:"rate_kb,omitempty"`   // setup, rung: kB a second that are asked
 	Within   int64   `json:"within_ms,omitempty"` // setup: not to be started later than this after it came
 	Length   int64   `json:"length_ms,omitempty"` // setup: the session ends after this by itself
-	Load     *Load   `json:"load,omitempty"`      // answers
+	Load     *Load   `json:"load,omitempty"`      // hello, answers
+	Start    uint64  `json:"start,omitempty"`     // hello of a node: another number at each start
+	Age      int64   `json:"age_ms,omitempty"`    // hello of a node: since it started
 	Kind     int     `json:"kind,omitempty"`      // note: 1 share delivered, 2 rung, 3 link, 4 uplink
 	Value    float64 `json:"value,omitempty"`     // note
 	Why      string  `json:"why,omitempty"`       // ended: "done", "called off", "lost"
@@ -133,6 +135,7 @@
 	State   string  `json:"state"`
 	Kind    string  `json:"kind,omitempty"` // of machine
 	Zone    string  `json:"zone,omitempty"`
+	Start   uint64  `json:"start,omitempty"`  // another number at each start of the node
 	Age     int64   `json:"age_ms,omitempty"` // since it last started; 0: long ago or not known
 	Weight  float64 `json:"weight,omitempty"` // size of its link
 	Cell    int     `json:"cell,omitempty"`
@@ -209,7 +212,7 @@
 	default:
 		return m, fmt.Errorf("unknown message %q", m.Type)
 	}
-	if m.Rung < 0 || m.Rate < 0 || m.Within < 0 || m.Length < 0 || m.Kind < 0 || m.Kind > 4 {
+	if m.Rung < 0 || m.Rate < 0 || m.Within < 0 || m.Length < 0 || m.Age < 0 || m.Kind < 0 || m.Kind > 4 {
 		return m, fmt.Errorf("%q has a figure out of range", m.Type)
 	}
 	if m.Type == Note && (m.Kind == 0 || m.Value < 0 || m.Value > 1e6) {
--- /dev/null
+++ b/internal/witness/check.go
@@ -0,0 +1,424 @@
+package witness
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"fordusher/internal/wire"
+)
+
+// Terms are the figures of the rules.
+type Terms struct {
+	Tariffs  map[string]Tariff `json:"tariffs"`
+	Grace    time.Duration     `json:"grace"` // of drains
+	Warmup   time.Duration     `json:"warmup"`
+	ColdFrom float64           `json:"cold_from"`
+	Multiple float64           `json:"multiple"`
+	TipAfter time.Duration     `json:"tip_after"`
+	Most     int               `json:"most"` // legs of a session
+	Spare    float64           `json:"spare"`
+	Share    float64           `json:"share"`
+	Span     time.Duration     `json:"span"`  // 0: further legs are not rationed
+	Slack    time.Duration     `json:"slack"` // what crosses a socket may be seen so much out of order or late
+}
+
+// Tariff is what the rules say of a tariff.
+type Tariff struct {
+	Paid   bool          `json:"paid,omitempty"`
+	Floor  int           `json:"floor,omitempty"`
+	Seats  int           `json:"seats,omitempty"`
+	Credit float64       `json:"credit,omitempty"`
+	Goal   time.Duration `json:"goal,omitempty"`
+}
+
+// The rules, by name, in the order of their numbers.
+const (
+	RuleAnswer = "one_answer"
+	RuleOnce   = "set_up_once"
+	RuleDrain  = "drains_kept"
+	RuleCold   = "cold_kept"
+	RuleTerms  = "terms_kept"
+	RuleBudget = "legs_rationed"
+)
+
+// Rules are the names of all rules.
+var Rules = []string{RuleAnswer, RuleOnce, RuleDrain, RuleCold, RuleTerms, RuleBudget}
+
+// Finding is how one rule fared.
+type Finding struct {
+	Checked  int      `json:"checked"`
+	Broken   int      `json:"broken"`
+	Examples []string `json:"examples,omitempty"` // the first few breaches
+}
+
+// Verdict is how all rules fared.
+type Verdict map[string]*Finding
+
+// Kept tells whether no rule was broken.
+func (v Verdict) Kept() bool {
+	for _, f := range v {
+		if f.Broken > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+const exampleMost = 5
+
+func (v Verdict) check(rule string, ok bool, format string, args ...any) {
+	f := v[rule]
+	f.Checked++
+	if ok {
+		return
+	}
+	f.Broken++
+	if len(f.Examples) < exampleMost {
+		f.Examples = append(f.Examples, fmt.Sprintf(format, args...))
+	}
+}
+
+type wantKey struct {
+	conn uint64
+	id   string
+}
+
+type want struct {
+	Record
+	answered time.Duration // 0: not yet
+	answer   string
+	excused  time.Duration // no answer is owed since then; 0: it is
+	repeats  int
+	session  string
+	legs     []*leg
+}
+
+type legKey struct {
+	node string
+	conn uint64
+	leg  uint64
+}
+
+type leg struct {
+	Record
+	over   time.Duration // 0: still out at the end of the record
+	full   bool          // the node has said that it never ran
+	plays  bool
+	played int
+}
+
+// An account is everything that is looked at while records are gone through, in the order of their times.
+type account struct {
+	terms    Terms
+	verdict  Verdict
+	wants    map[wantKey]*want
+	order    []*want
+	sessions map[string]*want // by the director's name of the session
+	legs     map[legKey]*leg
+	sent     []*leg
+	byLeg    map[string][]*leg    // legs of a session
+	told     map[[2]string]toldAt // director and node
+	starts   map[string]Record    // of nodes that are cold
+	cold     map[string][]Record  // set-ups since the node's start
+	conns    map[uint64][]*want   // of a player's connection
+	outs     map[string][]*leg    // legs out on a node
+	killed   map[string]bool      // directors that are down
+	end      time.Duration
+}
+
+type toldAt struct {
+	at    time.Duration
+	state string
+}
+
+// Check goes through records, which have to be in the order of their times, and says how each rule fared.
+func Check(terms Terms, records []Record) Verdict {
+	a := &account{
+		terms: terms, verdict: Verdict{}, wants: map[wantKey]*want{}, sessions: map[string]*want{},
+		legs: map[legKey]*leg{}, byLeg: map[string][]*leg{}, told: map[[2]string]toldAt{},
+		starts: map[string]Record{}, cold: map[string][]Record{}, conns: map[uint64][]*want{},
+		outs: map[string][]*leg{}, killed: map[string]bool{},
+	}
+	for _, rule := range Rules {
+		a.verdict[rule] = &Finding{}
+	}
+	for _, r := range records {
+		a.end = max(a.end, r.At)
+		a.take(r)
+	}
+	a.answers()
+	a.once()
+	a.seats()
+	a.budget()
+	return a.verdict
+}
+
+func (a *account) take(r Record) {
+	switch r.What {
+	case wire.Want:
+		k := wantKey{r.Conn, r.ID}
+		if w := a.wants[k]; w != nil {
+			w.repeats++
+			return
+		}
+		w := &want{Record: r}
+		if a.killed[r.Director] {
+			w.excused = r.At
+		}
+		a.wants[k] = w
+		a.order = append(a.order, w)
+		a.conns[r.Conn] = append(a.conns[r.Conn], w)
+	case wire.Plays, wire.Nack, wire.Errored:
+		a.answer(r)
+	case wire.Leave:
+		if w := a.wants[wantKey{r.Conn, r.ID}]; w != nil && w.excused == 0 {
+			w.excused = r.At
+		}
+	case wire.Setup:
+		a.setup(r)
+	case wire.Rung:
+		if r.Node != "" && r.Leg != 0 {
+			if g := a.legs[legKey{r.Node, r.Conn, r.Leg}]; g != nil {
+				a.floor(g.Tariff, r)
+			}
+		}
+	case wire.Accepted:
+		if g := a.legs[legKey{r.Node, r.Conn, r.Leg}]; g != nil {
+			g.plays = true
+			g.played++
+		}
+	case wire.Full, wire.Failed, wire.Ended, wire.End:
+		if g := a.legs[legKey{r.Node, r.Conn, r.Leg}]; g != nil {
+			g.full = g.full || r.What == wire.Full && !g.plays && g.over == 0
+			a.over(g, r.At)
+		}
+	case Closed:
+		if r.Node != "" {
+			for _, g := range a.outs[r.Node] {
+				if g.Conn == r.Conn {
+					a.over(g, r.At)
+				}
+			}
+			return
+		}
+		for _, w := range a.conns[r.Conn] {
+			if r.By == ByUs && w.excused == 0 {
+				w.excused = r.At
+			}
+		}
+		delete(a.conns, r.Conn)
+	case Returned:
+		delete(a.killed, r.Director)
+	case Killed:
+		a.killed[r.Director] = true
+		for _, w := range a.order {
+			if w.Director == r.Director && w.answered == 0 && w.excused == 0 {
+				w.excused = r.At
+			}
+		}
+	case Listens:
+		for k := range a.told {
+			if k[0] == r.Director {
+				delete(a.told, k)
+			}
+		}
+	case Told:
+		k := [2]string{r.Director, r.Node}
+		if a.told[k].state != r.State {
+			a.told[k] = toldAt{r.At, r.State}
+		}
+	case Started:
+		a.starts[r.Node] = r
+		a.cold[r.Node] = nil
+	case Died:
+		delete(a.starts, r.Node)
+		for _, g := range a.outs[r.Node] {
+			a.over(g, r.At)
+		}
+	}
+}
+
+func (a *account) over(g *leg, at time.Duration) {
+	if g.over == 0 {
+		g.over = at
+	}
+}
+
+// answer is rule 1's other half: an answer that nobody asked for, or a second one.
+func (a *account) answer(r Record) {
+	w := a.wants[wantKey{r.Conn, r.ID}]
+	if w == nil {
+		a.verdict.check(RuleAnswer, false, "%s: answer %s to %q, which was never asked", at(r.At), r.What, r.ID)
+		return
+	}
+	if w.answered != 0 {
+		a.verdict.check(RuleAnswer, w.repeats > 0 && w.answer == r.What, "%s: viewer %d got %s after %s from %s", at(r.At),
+			w.Viewer, r.What, w.answer, w.Director)
+		w.repeats--
+		return
+	}
+	w.answered, w.answer, w.session = r.At, r.What, r.Session
+	if r.Session != "" && r.What != wire.Plays {
+		a.sessions[r.Session] = w
+	}
+}
+
+// answers is rule 1: exactly one final answer, before the hard stop, unless nothing is owed.
+func (a *account) answers() {
+	for _, w := range a.order {
+		stop := w.At + w.Wait + a.terms.Slack
+		switch {
+		case w.answered != 0:
+			a.verdict.check(RuleAnswer, w.answered <= stop, "viewer %d was answered %v after the hard stop by %s", w.Viewer,
+				w.answered-w.At-w.Wait, w.Director)
+		case w.excused != 0 && w.excused <= stop:
+		case a.end <= stop: // the record ends before
+		default:
+			a.verdict.check(RuleAnswer, false, "viewer %d was never answered by %s (%s, asked at %s)", w.Viewer, w.Director,
+				w.Tariff, at(w.At))
+		}
+	}
+}
+
+func at(t time.Duration) string { return fmt.Sprintf("%.3fs", t.Seconds()) }
+
+func (a *account) setup(r Record) {
+	g := &leg{Record: r}
+	a.legs[legKey{r.Node, r.Conn, r.Leg}] = g
+	a.sent = append(a.sent, g)
+	a.outs[r.Node] = append(slices.DeleteFunc(a.outs[r.Node], func(x *leg) bool { return x.over != 0 }), g)
+	a.byLeg[r.Session] = append(a.byLeg[r.Session], g)
+	a.floor(r.Tariff, r)
+	// Rule 3. What was told and taken is what the director knows.
+	if t, ok := a.told[[2]string{r.Director, r.Node}]; ok && t.state != wire.Up {
+		a.verdict.check(RuleDrain, r.At <= t.at+a.terms.Grace+a.terms.Slack, "%s: %s sent to %s %v after it was told that it is %s",
+			at(r.At), r.Director, r.Node, r.At-t.at, t.state)
+	} else {
+		a.verdict.check(RuleDrain, true, "")
+	}
+	// Rule 4, all directors together.
+	start, cold := a.starts[r.Node]
+	if age := r.At - start.At; cold && age < a.terms.Warmup {
+		a.cold[r.Node] = slices.DeleteFunc(append(a.cold[r.Node], r), func(x Record) bool { return x.At <= r.At-a.terms.TipAfter })
+		warmth := a.terms.ColdFrom + (1-a.terms.ColdFrom)*age.Seconds()/a.terms.Warmup.Seconds()
+		budget := a.terms.Multiple * start.Places / a.terms.Warmup.Seconds() * warmth * a.terms.TipAfter.Seconds()
+		a.verdict.check(RuleCold, float64(len(a.cold[r.Node])) <= budget+1, "%s: %d set-ups within %v on %s, %v after its start (budget %.1f)",
+			at(r.At), len(a.cold[r.Node]), a.terms.TipAfter, r.Node, age, budget)
+	}
+}
+
+func (a *account) floor(tariff string, r Record) {
+	if t := a.terms.Tariffs[tariff]; t.Floor > 0 {
+		a.verdict.check(RuleTerms, r.Rung >= t.Floor, "%s: %s set rung %d of %s on %s, under the floor %d", at(r.At), r.Director, r.Rung,
+			tariff, r.Node, t.Floor)
+	}
+}
+
+// ended is when a leg was no longer out: when its node said so, when it was called off, or when its time
+// to start was up and it had not.
+func (a *account) ended(g *leg) time.Duration {
+	over := g.over
+	if over == 0 {
+		over = 1 << 62
+	}
+	if !g.plays && g.Within > 0 {
+		over = min(over, g.At+g.Within)
+	}
+	return over
+}
+
+// once is rule 2: one leg at a time, a paid set-up sent again or nacked only if it provably never ran, and
+// nothing sent for a session that has its answer.
+func (a *account) once() {
+	for _, g := range a.sent {
+		all := a.byLeg[g.Session]
+		if all[0] != g {
+			continue
+		}
+		paid := a.terms.Tariffs[g.Tariff].Paid
+		played := 0
+		for i, x := range all {
+			played += x.played
+			if i == 0 {
+				a.verdict.check(RuleOnce, true, "")
+				continue
+			}
+			before := all[i-1]
+			a.verdict.check(RuleOnce, x.At >= a.ended(before)-a.terms.Slack, "%s: %s has two legs out, on %s and %s", at(x.At), x.Session,
+				before.Node, x.Node)
+			a.verdict.check(RuleOnce, !paid || before.full, "%s: paid %s is sent again to %s, though its leg on %s may have run", at(x.At),
+				x.Session, x.Node, before.Node)
+		}
+		if a.terms.Most > 0 {
+			a.verdict.check(RuleOnce, len(all) <= a.terms.Most, "%s had %d legs", g.Session, len(all))
+		}
+		a.verdict.check(RuleOnce, !paid || played <= 1, "paid %s played %d times", g.Session, played)
+		w := a.sessions[g.Session]
+		if w == nil {
+			continue
+		}
+		for _, x := range all {
+			a.verdict.check(RuleOnce, x.At <= w.answered+a.terms.Slack, "%s: %s is sent to %s after its answer %s", at(x.At), x.Session, x.Node, w.answer)
+			if paid && w.answer == wire.Nack {
+				a.verdict.check(RuleOnce, x.full, "%s: paid %s is nacked, though its leg on %s may have run", at(w.answered), x.Session, x.Node)
+			}
+		}
+	}
+}
+
+// seats is the second half of rule 5: the legs of one title and tariff that a run of a director has out.
+func (a *account) seats() {
+	type hall struct{ boot, title, tariff string }
+	outs := map[hall][]*leg{}
+	for _, g := range a.sent {
+		seats := a.terms.Tariffs[g.Tariff].Seats
+		if seats == 0 {
+			continue
+		}
+		h := hall{boot(g.Session), g.Title, g.Tariff}
+		outs[h] = slices.DeleteFunc(outs[h], func(x *leg) bool { return a.ended(x)-a.terms.Slack <= g.At })
+		outs[h] = append(outs[h], g)
+		a.verdict.check(RuleTerms, len(outs[h]) <= seats, "%s: %s holds %d sessions of %s in %s; there are %d seats", at(g.At), h.boot,
+			len(outs[h]), h.title, h.tariff, seats)
+	}
+}
+
+// boot is the run of a director that a session's name tells.
+func boot(session string) string {
+	for i := len(session) - 1; i >= 0; i-- {
+		if session[i] == '.' {
+			return session[:i]
+		}
+	}
+	return session
+}
+
+// budget is rule 6: further legs within a span, of one run of a director.
+func (a *account) budget() {
+	if a.terms.Span == 0 {
+		return
+	}
+	var taken []Record
+	for _, w := range a.order {
+		taken = append(taken, w.Record)
+	}
+	further := map[string][]time.Duration{}
+	for _, g := range a.sent {
+		if a.byLeg[g.Session][0] == g {
+			continue
+		}
+		b := boot(g.Session)
+		spent := slices.DeleteFunc(append(further[b], g.At), func(t time.Duration) bool { return t <= g.At-a.terms.Span })
+		further[b] = spent
+		n := 0
+		for _, w := range taken {
+			if w.Director == g.Director && w.At > g.At-a.terms.Span-a.terms.Slack && w.At <= g.At {
+				n++
+			}
+		}
+		budget := a.terms.Spare + a.terms.Share*float64(n)
+		a.verdict.check(RuleBudget, float64(len(spent)) <= budget+1, "%s: %s sent %d further legs within %v (budget %.1f)", at(g.At), b,
+			len(spent), a.terms.Span, budget)
+	}
+}
--- /dev/null
+++ b/internal/witness/record.go
@@ -0,0 +1,155 @@
+// Package witness keeps what crossed the sockets, as the stand-ins at their far ends saw it, and checks the
+// six rules from that record alone. It knows nothing of a director's books.
+package witness
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/klauspost/compress/zstd"
+	"golang.org/x/sys/unix"
+)
+
+// Clock is the machine's monotonic clock, the same for every process on it.
+func Clock() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &ts); err != nil {
+		panic(fmt.Sprintf("no monotonic clock: %v", err))
+	}
+	return time.Duration(ts.Nano())
+}
+
+// What a Record tells of. The words of the wire stand for messages of that name.
+const (
+	Closed   = "closed"   // player, node: a connection has ended; By tells who ended it
+	Told     = "told"     // list: a director has taken a list in which the node stands so (State)
+	Listens  = "listens"  // list: a director has connected and knows nothing yet
+	Started  = "started"  // day: a node has started, cold
+	Died     = "died"     // day: a node's process has ended
+	Killed   = "killed"   // day: a director was killed; it owes nothing any more
+	GaveUp   = "gave up"  // player: the time to wait is up
+	Returned = "returned" // day: a director has started again
+)
+
+// Who may end a connection.
+const (
+	ByPeer = "peer"
+	ByUs   = "us" // the stand-in that keeps the record
+)
+
+// A Record is one thing that a stand-in saw, at the moment when it sent or received it.
+type Record struct {
+	At       time.Duration `json:"at"`
+	What     string        `json:"what"`
+	Viewer   int           `json:"viewer,omitempty"` // player records
+	Conn     uint64        `json:"conn,omitempty"`   // the stand-in's number of the connection
+	Director string        `json:"director,omitempty"`
+	Node     string        `json:"node,omitempty"`
+	ID       string        `json:"id,omitempty"`
+	Session  string        `json:"session,omitempty"`
+	Leg      uint64        `json:"leg,omitempty"`
+	Tariff   string        `json:"tariff,omitempty"`
+	Title    string        `json:"title,omitempty"`
+	Rung     int           `json:"rung,omitempty"`
+	Wait     time.Duration `json:"wait,omitempty"`   // want
+	Within   time.Duration `json:"within,omitempty"` // setup
+	Again    bool          `json:"again,omitempty"`
+	State    string        `json:"state,omitempty"`
+	By       string        `json:"by,omitempty"`
+	Places   float64       `json:"places,omitempty"` // started
+	Why      string        `json:"why,omitempty"`
+}
+
+// A Recorder takes records from many goroutines.
+type Recorder struct {
+	mu      sync.Mutex
+	records []Record
+}
+
+// Add keeps a record; its time is now unless it has one.
+func (r *Recorder) Add(x Record) {
+	r.mu.Lock()
+	if x.At == 0 {
+		x.At = Clock()
+	}
+	r.records = append(r.records, x)
+	r.mu.Unlock()
+}
+
+// Records returns what was kept so far, by time.
+func (r *Recorder) Records() []Record {
+	r.mu.Lock()
+	all := slices.Clone(r.records)
+	r.mu.Unlock()
+	Sort(all)
+	return all
+}
+
+// Sort puts records in the order of their times.
+func Sort(all []Record) {
+	slices.SortStableFunc(all, func(a, b Record) int { return int(min(1, max(-1, a.At-b.At))) })
+}
+
+// Save writes terms and records to a compressed file, one JSON value a line.
+func Save(file string, terms Terms, records []Record) (err error) {
+	f, err := os.Create(file)
+	if err != nil {
+		return err
+	}
+	defer func() {
+		if e := f.Close(); err == nil {
+			err = e
+		}
+	}()
+	z, err := zstd.NewWriter(f)
+	if err != nil {
+		return err
+	}
+	w := bufio.NewWriter(z)
+	e := json.NewEncoder(w)
+	if err = e.Encode(terms); err != nil {
+		return err
+	}
+	for i := range records {
+		if err = e.Encode(&records[i]); err != nil {
+			return err
+		}
+	}
+	if err = w.Flush(); err != nil {
+		return err
+	}
+	return z.Close()
+}
+
+// Load reads what Save wrote. A file that was cut off is an error, never half a verdict.
+func Load(file string) (terms Terms, records []Record, err error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return terms, nil, err
+	}
+	defer f.Close()
+	z, err := zstd.NewReader(f)
+	if err != nil {
+		return terms, nil, err
+	}
+	defer z.Close()
+	d := json.NewDecoder(z)
+	if err := d.Decode(&terms); err != nil {
+		return terms, nil, fmt.Errorf("%s: terms: %w", file, err)
+	}
+	for {
+		var x Record
+		if err := d.Decode(&x); err == io.EOF {
+			return terms, records, nil
+		} else if err != nil {
+			return terms, nil, fmt.Errorf("%s: record %d: %w", file, len(records)+1, err)
+		}
+		records = append(records, x)
+	}
+}
--- /dev/null
+++ b/reach/reach.go
@@ -0,0 +1,144 @@
+// Package reach decides when a director connects to nodes: at once where the list names a node or tells
+// of a new start, again after a pause that doubles while it fails, and never to more than so many at a
+// time. It does no I/O and has no clock: Step takes what happened and when, and returns what is to be done.
+package reach
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Pace is how connections to nodes are tried.
+type Pace struct {
+	First  time.Duration // pause after the first failure; each further one doubles it
+	Most   time.Duration // up to this
+	AtOnce int           // tries under way at one time
+}
+
+// Event is something that happened to a node, which the caller names by a small index.
+type Event struct {
+	Node int
+	What What
+}
+
+// What happened.
+type What int
+
+// The events. Ring needs no node.
+const (
+	Listed   What = iota // the node is to be connected to: newly listed, or started anew
+	Unlisted             // it is no longer to be
+	Made                 // a try succeeded
+	Failed               // a try failed
+	Lost                 // a connection that was made has ended
+	Ring                 // the time that was asked for has come
+)
+
+// Plan is what is to be done: connect to these nodes now, and ring at a time (0: no need).
+type Plan struct {
+	Dial []int
+	Ring time.Duration
+}
+
+type state int
+
+const (
+	idle state = iota // wanted, waiting for its time
+	trying
+	made
+)
+
+type node struct {
+	state state
+	fails int
+	due   time.Duration
+	drop  bool // unlisted while a try was under way
+}
+
+// Reach is the state of one director's tries.
+type Reach struct {
+	pace   Pace
+	chance *rand.Rand
+	nodes  map[int]*node // emptied as nodes are unlisted
+	outs   int           // tries under way
+	plan   Plan
+}
+
+// New starts with no nodes.
+func New(seed uint64, pace Pace) *Reach {
+	return &Reach{pace: pace, chance: rand.New(rand.NewPCG(seed, 0)), nodes: map[int]*node{}}
+}
+
+// Step takes what happened at a time and returns what is to be done. The plan is valid until the next call.
+func (r *Reach) Step(now time.Duration, e Event) Plan {
+	r.plan = Plan{Dial: r.plan.Dial[:0]}
+	n := r.nodes[e.Node]
+	switch {
+	case e.What == Ring:
+	case e.What == Listed && n == nil:
+		r.nodes[e.Node] = &node{due: now}
+	case n == nil: // unlisted meanwhile
+	case e.What == Listed: // a new start: what failed before tells nothing of it
+		n.drop, n.fails, n.due = false, 0, now
+	case e.What == Unlisted && n.state == trying:
+		n.drop = true
+	case e.What == Unlisted:
+		delete(r.nodes, e.Node)
+	case e.What == Made && n.state == trying:
+		r.outs--
+		n.state, n.fails = made, 0
+		if n.drop {
+			delete(r.nodes, e.Node)
+		}
+	case e.What == Failed && n.state == trying:
+		r.outs--
+		n.state = idle
+		r.pause(now, n)
+		if n.drop {
+			delete(r.nodes, e.Node)
+		}
+	case e.What == Lost && n.state == made:
+		n.state, n.due = idle, now // it may be back already; if not, the pauses begin
+	}
+	r.fill(now)
+	return r.plan
+}
+
+// pause puts the next try off: between half and all of a span that doubles, so that directors that
+// lost a node in the same moment do not come back to it in the same moment.
+func (r *Reach) pause(now time.Duration, n *node) {
+	span := r.pace.Most
+	if n.fails < 16 {
+		span = min(span, r.pace.First<<n.fails)
+	}
+	n.fails++
+	n.due = now + span/2 + time.Duration(r.chance.Int64N(int64(span/2)+1))
+}
+
+// fill starts the tries that are due, the longest due first, as far as there is room.
+func (r *Reach) fill(now time.Duration) {
+	var due []int
+	for i, n := range r.nodes {
+		if n.state == idle && n.due <= now {
+			due = append(due, i)
+		}
+	}
+	slices.SortFunc(due, func(a, b int) int {
+		return cmp.Or(cmp.Compare(r.nodes[a].due, r.nodes[b].due), cmp.Compare(a, b))
+	})
+	for _, i := range due {
+		if r.outs >= r.pace.AtOnce {
+			break // a try that ends calls again
+		}
+		r.nodes[i].state = trying
+		r.outs++
+		r.plan.Dial = append(r.plan.Dial, i)
+	}
+	for _, n := range r.nodes {
+		if n.state == idle && n.due > now && (r.plan.Ring == 0 || n.due < r.plan.Ring) {
+			r.plan.Ring = n.due
+		}
+	}
+}
--- /dev/null
+++ b/reach/reach_test.go
@@ -0,0 +1,106 @@
+package reach
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var pace = Pace{First: 100 * time.Millisecond, Most: time.Second, AtOnce: 3}
+
+// Whatever happens: never two tries at one node, never more than AtOnce, no try at an unlisted node, and
+// a node that is wanted and not connected is tried again within the longest pause once there is room.
+func TestTriesStayWithinBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := New(rapid.Uint64().Draw(t, "seed"), pace)
+		listed, trying, up := map[int]bool{}, map[int]bool{}, map[int]bool{}
+		idleSince := map[int]time.Duration{}
+		var now, ring time.Duration
+		step := func(e Event) {
+			p := r.Step(now, e)
+			for _, i := range p.Dial {
+				if trying[i] || up[i] {
+					t.Fatalf("node %d tried while it is connected or tried", i)
+				}
+				if !listed[i] {
+					t.Fatalf("node %d tried though it is not listed", i)
+				}
+				trying[i] = true
+				delete(idleSince, i)
+			}
+			if len(trying) > pace.AtOnce {
+				t.Fatalf("%d tries at once", len(trying))
+			}
+			ring = p.Ring
+			for i, since := range idleSince {
+				if len(trying) < pace.AtOnce && now > since+pace.Most+time.Second {
+					t.Fatalf("node %d forgotten since %v", i, since)
+				}
+			}
+		}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond
+			for ring > 0 && ring <= now {
+				step(Event{What: Ring})
+			}
+			i := rapid.IntRange(0, 7).Draw(t, "node")
+			switch what := What(rapid.IntRange(0, 4).Draw(t, "what")); {
+			case what == Listed:
+				if !listed[i] && !trying[i] && !up[i] {
+					idleSince[i] = now
+				}
+				listed[i] = true
+				step(Event{i, Listed})
+			case what == Unlisted && listed[i]:
+				delete(listed, i)
+				delete(idleSince, i)
+				if up[i] {
+					delete(up, i) // the caller hangs up
+				}
+				step(Event{i, Unlisted})
+			case what == Made && trying[i]:
+				delete(trying, i)
+				if listed[i] {
+					up[i] = true
+				}
+				step(Event{i, Made})
+			case what == Failed && trying[i]:
+				delete(trying, i)
+				if listed[i] {
+					idleSince[i] = now
+				}
+				step(Event{i, Failed})
+			case what == Lost && up[i]:
+				delete(up, i)
+				idleSince[i] = now
+				step(Event{i, Lost})
+			}
+		}
+	})
+}
+
+// A node that stays away is tried ever less often, and at once when the list tells of a new start.
+func TestPausesDoubleUntilANewStart(t *testing.T) {
+	r := New(1, pace)
+	now := time.Duration(0)
+	p := r.Step(now, Event{0, Listed})
+	last := time.Duration(0)
+	for i := range 6 {
+		if len(p.Dial) != 1 {
+			t.Fatal(i, p)
+		}
+		p = r.Step(now, Event{0, Failed})
+		span := min(pace.Most, pace.First<<i)
+		if wait := p.Ring - now; wait < span/2 || wait > span || i > 0 && wait < last/4 {
+			t.Fatal(i, wait)
+		}
+		last = p.Ring - now
+		now = p.Ring
+		p = r.Step(now, Event{What: Ring})
+	}
+	r.Step(now, Event{0, Failed})
+	if p = r.Step(now, Event{0, Listed}); len(p.Dial) != 1 {
+		t.Fatal("a new start waits for an old pause", p)
+	}
+}
