--- a/cmd/fordusher/main.go
+++ b/cmd/fordusher/main.go
@@ -20,9 +20,10 @@
 var errBroken = errors.New("a rule was broken")
 
 type commands struct {
-	Day   dayCommand   `cmd:"" help:"Run a scripted bad day on loopback and check the six rules from what crossed the sockets."`
-	Serve serveCommand `cmd:"" help:"Run one director."`
-	Check checkCommand `cmd:"" help:"Check a director's file."`
+	Day    dayCommand    `cmd:"" help:"Run a scripted bad day on loopback and check the six rules from what crossed the sockets."`
+	Serve  serveCommand  `cmd:"" help:"Run one director."`
+	Check  checkCommand  `cmd:"" help:"Check a director's file."`
+	Verify verifyCommand `cmd:"" help:"Check the rules again from kept records."`
 }
 
 func main() {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -440,6 +440,7 @@
 		{"odd_moves_total", "moves that no table has; should be 0", prometheus.CounterValue, float64(c.OddMove)},
 		{"stray_total", "messages for what is not known (any more)", prometheus.CounterValue, float64(c.Stray)},
 		{"late_total", "second answers, and answers for who has one", prometheus.CounterValue, float64(c.Late)},
+		{"stalls_total", "times that the loop was late by more than 100 ms", prometheus.CounterValue, float64(c.Stalls)},
 		{"malformed_total", "malformed messages", prometheus.CounterValue,
 			float64(d.refused[0].Load() + d.refused[1].Load() + d.refused[2].Load())},
 		{"flooded_total", "connections closed for too many messages", prometheus.CounterValue, float64(d.flooded.Load())},
--- a/internal/day/trouble.go
+++ b/internal/day/trouble.go
@@ -145,11 +145,11 @@
 
 func (g *rig) fault(ctx context.Context, t Trouble, what string, on, off node.Fault) {
 	g.each(ctx, t, what, func(_ int, m node.Machine) {
+		on, off := on, off // every node has its own
 		on.Node, off.Node = m.Name, m.Name
-		a, b := on, off
-		g.fleet.Do(a)
+		g.fleet.Do(on)
 		sleep(ctx, t.For)
-		g.fleet.Do(b)
+		g.fleet.Do(off)
 	})
 }
 
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -16,8 +16,10 @@
 package director
 
 import (
+	"cmp"
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"time"
 
@@ -246,6 +248,7 @@
 	NeverRan                               [len(proofWords)]uint64
 	Overdue, OddMove, Stray, Late, BadWord uint64
 	Broken                                 uint64 // sessions that played and lost their node
+	Stalls                                 uint64 // times that the loop was late by more than 100 ms
 }
 
 // Counts returns what was counted, and what there is now.
@@ -316,42 +319,76 @@
 
 func (l *Loop) log(format string, figures ...any) { l.do(Log{fmt.Sprintf(format, figures...)}) }
 
-// due works off the timers whose time has come, the oldest first: after a stall of the process the
-// longest overdue is settled first.
+// stalled is how late the loop may be before it counts as having stood still.
+const stalled = 100 * time.Millisecond
+
+// due works off the timers whose time has come, in the order of their times. After a stall of the process
+// answers come first, those whose hard stop was first before the others.
 func (l *Loop) due() {
-	for t := l.timers.first(); t != nil && t.at <= l.now && !l.ended; t = l.timers.first() {
-		l.timers.pop()
-		switch t.kind {
-		case timerRing:
-			l.tell(policy.Ring{})
-		case timerLeg:
-			if g := l.legs[t.id]; g != nil {
-				l.legOverdue(g)
-			}
-		case timerAnswer:
-			if s := l.sessions[t.id]; s != nil {
-				l.answerOverdue(s)
-			}
-		case timerLinger:
-			if s := l.sessions[t.id]; s != nil {
-				l.gone(s)
-			}
-		case timerReach:
-			l.reached(reach.Event{What: reach.Ring})
-		case timerPing:
-			if n := l.links[t.id]; n != nil && n.up {
-				l.do(AskAlive{t.id})
-				n.ping = l.timers.add(l.now+l.manners.Ping, timerPing, t.id)
-			}
-		case timerPlayer:
-			if c := l.conns[t.id]; c != nil {
-				l.do(AskPlayerAlive{t.id})
-				c.ping = l.timers.add(l.now+l.manners.PingPlayers, timerPlayer, t.id)
+	if t := l.timers.first(); t != nil && l.now-t.at > stalled {
+		l.counts.Stalls++
+		var late []*timer
+		for t := l.timers.first(); t != nil && t.at <= l.now; t = l.timers.first() {
+			late = append(late, l.timers.pop())
+		}
+		slices.SortStableFunc(late, func(a, b *timer) int { return cmp.Compare(l.urgency(a), l.urgency(b)) })
+		for _, t := range late {
+			if !l.ended {
+				l.fire(t)
 			}
-		case timerClose:
-			l.close()
 		}
 	}
+	for t := l.timers.first(); t != nil && t.at <= l.now && !l.ended; t = l.timers.first() {
+		l.fire(l.timers.pop())
+	}
+}
+
+// urgency is the hard stop that a timer serves; one that serves none comes last.
+func (l *Loop) urgency(t *timer) time.Duration {
+	switch t.kind {
+	case timerLeg:
+		if g := l.legs[t.id]; g != nil {
+			return g.session.stop
+		}
+	case timerAnswer:
+		if s := l.sessions[t.id]; s != nil {
+			return s.stop
+		}
+	}
+	return math.MaxInt64
+}
+
+func (l *Loop) fire(t *timer) {
+	switch t.kind {
+	case timerRing:
+		l.tell(policy.Ring{})
+	case timerLeg:
+		if g := l.legs[t.id]; g != nil {
+			l.legOverdue(g)
+		}
+	case timerAnswer:
+		if s := l.sessions[t.id]; s != nil {
+			l.answerOverdue(s)
+		}
+	case timerLinger:
+		if s := l.sessions[t.id]; s != nil {
+			l.gone(s)
+		}
+	case timerReach:
+		l.reached(reach.Event{What: reach.Ring})
+	case timerPing:
+		if n := l.links[t.id]; n != nil && n.up {
+			l.do(AskAlive{t.id})
+			n.ping = l.timers.add(l.now+l.manners.Ping, timerPing, t.id)
+		}
+	case timerPlayer:
+		if c := l.conns[t.id]; c != nil {
+			l.do(AskPlayerAlive{t.id})
+			c.ping = l.timers.add(l.now+l.manners.PingPlayers, timerPlayer, t.id)
+		}
+	case timerClose:
+		l.close()
+	}
 }
 
 // tell hands the module an event and carries out its answer. What becomes true while that is done is
--- /dev/null
+++ b/internal/director/director_test.go
@@ -0,0 +1,520 @@
+package director
+
+import (
+	"testing"
+	"time"
+
+	"fordusher/internal/wire"
+	"fordusher/policy"
+)
+
+func TestRequestPlaysAndEnds(t *testing.T) {
+	s := newStage(t, 3)
+	s.want("1", "exam")
+	g := s.oneLeg()
+	if g.Message.Rung < 1 || g.Message.Rate < 200 || g.Message.Tariff != "exam" {
+		t.Fatal(g.Message)
+	}
+	s.do(said(g, wire.Accepted))
+	if a := s.oneAnswer(wire.Plays); a.ID != "1" || a.Session != g.Message.Session || a.Address == "" {
+		t.Fatal(a)
+	}
+	s.pass(5 * time.Second)
+	s.do(said(g, wire.Ended))
+	if over := s.told(wire.Over); len(over) != 1 || over[0].Why != "ended" {
+		t.Fatal(over)
+	}
+	s.empty()
+}
+
+// A node that is silent after it took a set-up: a free session goes on to another node in time, with the
+// first leg called off; a paid one fails at its hard stop and is sent nowhere else.
+func TestNodeSilentAfterAccepting(t *testing.T) {
+	s := newStage(t, 3)
+	s.want("1", "clip")
+	first := s.oneLeg()
+	s.pass(450 * ms)
+	all := s.setups()
+	if len(all) != 2 || all[1].Link == first.Link {
+		t.Fatal(all)
+	}
+	if e := s.ends(); len(e) != 1 || e[0] != first.Setup {
+		t.Fatal("the first leg is not called off", e)
+	}
+	s.do(said(all[1], wire.Accepted))
+	s.oneAnswer(wire.Plays)
+
+	s = newStage(t, 3)
+	s.want("1", "exam")
+	first = s.oneLeg()
+	s.pass(1949 * ms)
+	if len(s.answers()) != 0 {
+		t.Fatal("answered early", s.answers())
+	}
+	s.pass(2 * ms) // AnswerAhead before the tariff's hard stop
+	s.oneAnswer(wire.Errored)
+	s.oneLeg()
+	s.do(said(first, wire.Accepted)) // too late: it is told to end
+	s.oneAnswer(wire.Errored)
+	if e := s.ends(); len(e) != 2 {
+		t.Fatal(e)
+	}
+	s.empty()
+}
+
+// The viewer leaves and the answer comes in the same instant, in both orders.
+func TestLeaveCrossesAnswer(t *testing.T) {
+	for _, answerFirst := range []bool{true, false} {
+		s := newStage(t, 3)
+		s.want("1", "exam")
+		g := s.oneLeg()
+		leave := func() { s.do(PlayerSaid{1, wire.Session{Type: wire.Leave, ID: "1"}}) }
+		if answerFirst {
+			s.do(said(g, wire.Accepted))
+			leave()
+			s.oneAnswer(wire.Plays)
+		} else {
+			leave()
+			s.do(said(g, wire.Accepted))
+			if a := s.answers(); len(a) != 0 {
+				t.Fatal("an answer to who has left", a)
+			}
+		}
+		if len(s.ends()) == 0 {
+			t.Fatal("the node plays on for nobody")
+		}
+		s.pass(5 * time.Second)
+		s.oneLeg()
+		s.empty()
+	}
+}
+
+// What is in the inbox when its time runs out still counts; a moment later it does not.
+func TestAnswerAndHardStopInOneTick(t *testing.T) {
+	s := newStage(t, 3)
+	s.want("1", "exam")
+	g := s.oneLeg()
+	s.now += 1950 * ms
+	s.do(said(g, wire.Accepted))
+	s.oneAnswer(wire.Plays)
+
+	s = newStage(t, 3)
+	s.want("1", "exam")
+	g = s.oneLeg()
+	s.now += 1950 * ms
+	s.do(Tick{})
+	s.do(said(g, wire.Accepted))
+	s.oneAnswer(wire.Errored)
+}
+
+// A node that dies between taking a set-up and playing: what went out may have run, what never left did not.
+func TestLinkLostWithLegsOut(t *testing.T) {
+	s := newStage(t, 3)
+	s.want("1", "exam")
+	g := s.oneLeg()
+	s.do(LinkLost{Link: g.Link})
+	s.oneAnswer(wire.Errored)
+	s.pass(3 * time.Second)
+	s.oneLeg()
+	s.empty()
+
+	s = newStage(t, 3)
+	s.want("1", "exam")
+	g = s.oneLeg()
+	s.do(LinkLost{Link: g.Link, Unsent: []uint64{g.Setup}})
+	all := s.setups()
+	if len(all) != 2 || all[1].Link == g.Link || len(s.answers()) != 0 {
+		t.Fatal(all, s.answers())
+	}
+	if n := s.loop.counts.NeverRan; n[4] != 1 {
+		t.Fatal(n)
+	}
+}
+
+// A connection that died without a word is given up after three signs of life are missing.
+func TestDeadLinkIsNoticed(t *testing.T) {
+	s := newStage(t, 1)
+	s.want("1", "clip")
+	g := s.oneLeg()
+	s.do(said(g, wire.Accepted))
+	s.pass(2 * time.Second)
+	asked := 0
+	for _, o := range s.all {
+		if a, ok := o.(AskAlive); ok && a.Link == g.Link {
+			asked++
+		}
+	}
+	if asked == 0 {
+		t.Fatal("never asked for a sign of life")
+	}
+	s.do(LinkAlive{g.Link, 2 * time.Second})
+	if len(s.told(wire.Over)) != 0 {
+		t.Fatal("given up too early")
+	}
+	s.do(LinkAlive{g.Link, 3100 * ms})
+	if over := s.told(wire.Over); len(over) != 1 || over[0].Why != "node lost" {
+		t.Fatal(over)
+	}
+	s.empty()
+}
+
+func TestSecondAndStrayAnswersAreOnlyCounted(t *testing.T) {
+	s := newStage(t, 3)
+	s.want("1", "clip")
+	g := s.oneLeg()
+	s.do(said(g, wire.Accepted))
+	s.do(said(g, wire.Accepted)) // twice
+	s.oneAnswer(wire.Plays)
+	s.do(LinkSaid{g.Link, wire.Node{Type: wire.Accepted, Leg: 999}}) // of nobody
+	if e := s.ends(); len(e) != 1 || e[0] != 999 {
+		t.Fatal("who plays for nobody is not ended", e)
+	}
+	other := s.links[name(0)]
+	if other == g.Link {
+		other = s.links[name(1)]
+	}
+	s.do(LinkSaid{other, wire.Node{Type: wire.Ended, Leg: g.Setup}}) // of another node's leg
+	if len(s.told(wire.Over)) != 0 {
+		t.Fatal("another node ended it")
+	}
+	if c := s.loop.counts; c.Late != 1 || c.Stray != 2 {
+		t.Fatal(c.Late, c.Stray)
+	}
+}
+
+// "Full" after "accepted" is no proof of anything.
+func TestFullAfterAcceptedIsNoProof(t *testing.T) {
+	s := newStage(t, 3)
+	s.want("1", "exam")
+	g := s.oneLeg()
+	s.do(said(g, wire.Accepted))
+	s.do(said(g, wire.Full))
+	s.pass(3 * time.Second)
+	s.oneLeg()
+	if over := s.told(wire.Over); len(over) != 1 || over[0].Why != "node lost" || s.loop.counts.NeverRan[1] != 0 {
+		t.Fatal(over)
+	}
+	s.empty()
+}
+
+// News of a drain while a set-up waits in an outbound queue: it is taken back, counts as never sent, and
+// goes elsewhere, a paid one too.
+func TestDrainRecallsWhatIsNotHandedOver(t *testing.T) {
+	s := newStage(t, 3)
+	s.want("1", "exam")
+	g := s.oneLeg()
+	var at int
+	for i := range 3 {
+		if s.links[name(i)] == g.Link {
+			at = i
+		}
+	}
+	e := up(at)
+	e.State = wire.Draining
+	s.do(ListSaid{wire.List{Type: wire.Update, Serial: 2, Nodes: []wire.Entry{e}}})
+	if w := s.withdrawals(); len(w) != 1 || w[0] != g.Setup {
+		t.Fatal(w)
+	}
+	s.oneLeg() // not sent again before it is proven
+	s.do(Withdrawn{g.Setup})
+	all := s.setups()
+	if len(all) != 2 || all[1].Link == g.Link {
+		t.Fatal(all)
+	}
+	s.do(Withdrawn{g.Setup}) // too late for anything
+	if len(s.setups()) != 2 {
+		t.Fatal(s.setups())
+	}
+}
+
+// A leg that waits for its node's connection is never sent where the list takes the node off meanwhile.
+func TestDrainWhileConnecting(t *testing.T) {
+	s := newStage(t, 1)
+	s.do(LinkLost{Link: s.links[name(0)]}) // it is dialled again at once
+	s.want("1", "exam")
+	if len(s.setups()) != 0 {
+		t.Fatal("sent without a connection")
+	}
+	e := up(0)
+	e.State = wire.Draining
+	s.do(ListSaid{wire.List{Type: wire.Update, Serial: 2, Nodes: []wire.Entry{e}}})
+	s.makeLink(name(0))
+	s.pass(3 * time.Second)
+	if len(s.setups()) != 0 {
+		t.Fatal("sent to a draining node")
+	}
+	s.oneAnswer(wire.Nack) // nothing paid ever ran
+	s.empty()
+}
+
+func TestWaitingLegGoesOutOnceConnected(t *testing.T) {
+	s := newStage(t, 1)
+	s.do(LinkLost{Link: s.links[name(0)]})
+	s.want("1", "exam")
+	s.pass(20 * ms)
+	s.makeLink(name(0))
+	s.do(said(s.oneLeg(), wire.Accepted))
+	s.oneAnswer(wire.Plays)
+
+	s = newStage(t, 1)
+	s.do(LinkLost{Link: s.links[name(0)]})
+	s.want("1", "exam")
+	s.do(LinkFailed{name(0), s.links[name(0)]})
+	s.pass(2 * time.Second)
+	s.oneAnswer(wire.Nack)
+	if n := s.loop.counts.NeverRan[2]; n == 0 {
+		t.Fatal("no proof counted")
+	}
+	s.empty()
+}
+
+// The same request twice on one connection is one session; what was answered is answered again.
+func TestRepeatedRequestIsAnsweredAsBefore(t *testing.T) {
+	s := newStage(t, 3)
+	s.want("1", "exam")
+	s.want("1", "exam")
+	g := s.oneLeg()
+	s.do(said(g, wire.Accepted))
+	s.oneAnswer(wire.Plays)
+	s.want("1", "exam")
+	a := s.answers()
+	if len(a) != 2 || a[0] != a[1] || len(s.setups()) != 1 {
+		t.Fatal(a)
+	}
+}
+
+// A viewer whose connection broke finds the same session again by its key: in set-up and while it plays,
+// with no second leg. After the linger it is gone.
+func TestBrokenConnectionIsResumed(t *testing.T) {
+	key := func(k string) func(*wire.Session) { return func(m *wire.Session) { m.Key = k } }
+	s := newStage(t, 3)
+	s.want("1", "exam", key("k"))
+	g := s.oneLeg()
+	s.do(PlayerClosed{1})
+	s.do(PlayerOpened{2})
+	s.do(PlayerSaid{2, wire.Session{Type: wire.Want, ID: "9", Tariff: "exam", Title: "t", Key: "k", Wait: 5000}})
+	s.do(said(g, wire.Accepted))
+	if a := s.oneAnswer(wire.Plays); a.ID != "9" {
+		t.Fatal(a)
+	}
+	// While the second connection still stands, a third one takes the session over.
+	s.do(PlayerOpened{3})
+	s.do(PlayerSaid{3, wire.Session{Type: wire.Want, ID: "7", Tariff: "exam", Title: "t", Key: "k", Wait: 5000}})
+	if a := s.answers(); len(a) != 2 || a[1].ID != "7" || a[1].Session != a[0].Session {
+		t.Fatal(a)
+	}
+	if over := s.told(wire.Over); len(over) != 1 || over[0].Why != "taken over" {
+		t.Fatal(over)
+	}
+	s.oneLeg()
+	// The key with another title is somebody else's.
+	s.do(PlayerSaid{3, wire.Session{Type: wire.Want, ID: "8", Tariff: "clip", Title: "t", Key: "k", Wait: 5000}})
+	if a := s.answers(); len(a) != 3 || a[2].Type != wire.Errored {
+		t.Fatal(a)
+	}
+	s.do(PlayerClosed{3})
+	s.pass(999 * ms)
+	if len(s.ends()) != 0 {
+		t.Fatal("ended within the linger")
+	}
+	s.pass(2 * ms)
+	if e := s.ends(); len(e) != 1 || e[0] != g.Setup {
+		t.Fatal(e)
+	}
+	s.empty()
+}
+
+// A viewer who comes again with less patience is answered by it.
+func TestResumedRequestKeepsItsOwnTime(t *testing.T) {
+	s := newStage(t, 3)
+	s.want("1", "exam", func(m *wire.Session) { m.Key = "k" })
+	s.do(PlayerClosed{1})
+	s.do(PlayerOpened{2})
+	s.do(PlayerSaid{2, wire.Session{Type: wire.Want, ID: "1", Tariff: "exam", Title: "t", Key: "k", Wait: 500}})
+	s.pass(451 * ms)
+	s.oneAnswer(wire.Errored)
+	s.pass(3 * time.Second)
+	s.oneLeg()
+	s.empty()
+}
+
+func TestRequestsThatCannotBeTaken(t *testing.T) {
+	s := newStage(t, 3)
+	s.want("1", "nothing")
+	s.want("2", "clip", func(m *wire.Session) { m.Title = "other" })
+	for _, id := range []string{"3", "4", "5", "6"} {
+		s.want(id, "clip")
+	}
+	s.want("7", "clip") // one more than a connection may have
+	got := map[string]string{}
+	for _, a := range s.answers() {
+		got[a.ID] = a.Type + ": " + a.Why
+	}
+	if len(got) != 3 || got["1"] != "errored: unknown tariff" || got["2"] != "nack: unknown title" ||
+		got["7"] != "nack: too many sessions on this connection" {
+		t.Fatal(got)
+	}
+	s.do(PlayerSaid{1, wire.Session{Type: wire.Plays, ID: "1"}})
+	if c, ok := s.out[len(s.out)-1].(ClosePlayer); !ok || c.Code != 1008 {
+		t.Fatal(s.out)
+	}
+}
+
+// Requests of a connection that ended are forgotten but for the last few.
+func TestConnectionRemembersNoMoreThanItMust(t *testing.T) {
+	s := newStage(t, 3)
+	for i := range 100 {
+		s.want(name(i), "nothing")
+	}
+	if n := len(s.loop.conns[1].requests); n != remembered {
+		t.Fatal(n)
+	}
+}
+
+// An order to stop: nothing new is taken, the answer that is owed goes out, sessions end in slices.
+func TestStop(t *testing.T) {
+	s := newStage(t, 3)
+	for _, id := range []string{"1", "2", "3"} {
+		s.want(id, "clip")
+	}
+	for _, g := range s.setups() {
+		s.do(said(g, wire.Accepted))
+	}
+	s.want("4", "exam")
+	owed := s.setups()[3]
+	s.forget()
+	s.do(Stop{})
+	s.want("5", "clip")
+	if a := s.oneAnswer(wire.Nack); a.ID != "5" || a.Why != "director closes" {
+		t.Fatal(a)
+	}
+	s.do(said(owed, wire.Accepted))
+	if a := s.answers(); len(a) != 2 || a[1].Type != wire.Plays {
+		t.Fatal(a)
+	}
+	s.pass(2 * time.Second)
+	if !s.ended {
+		t.Fatal("not ended within the term")
+	}
+	if over := s.told(wire.Over); len(over) != 4 {
+		t.Fatal(over)
+	}
+}
+
+// At the end of a stop's term what is still owed is given up at once, paid or not.
+func TestStopGivesUpWhatIsOwed(t *testing.T) {
+	s := newStage(t, 3)
+	s.loop.term.Within = 300 * ms
+	s.want("1", "exam")
+	s.do(Stop{})
+	s.pass(301 * ms)
+	s.oneAnswer(wire.Errored)
+	if !s.ended {
+		t.Fatal("not ended")
+	}
+}
+
+// The process stood still for two seconds: everything overdue is settled in the order of its time.
+func TestStallSettlesOldestFirst(t *testing.T) {
+	s := newStage(t, 3)
+	for i, wait := range []int64{1900, 1000, 1500} {
+		s.want(name(i), "exam", func(m *wire.Session) { m.Wait = wait; m.Title = "t"; m.Tariff = "clip" })
+	}
+	s.now += 2500 * ms
+	s.do(Tick{})
+	order := ""
+	for _, a := range s.answers() {
+		order += a.ID
+	}
+	if order != "n1n2n0" {
+		t.Fatal(order)
+	}
+}
+
+// A node tells of its own new start before the list does; the module hears of it, and the link to what no
+// longer runs is given up once the list tells of a start that it does not lead to.
+func TestNewStartIsTold(t *testing.T) {
+	s := newStage(t, 1)
+	link := s.links[name(0)]
+	s.do(LinkSaid{link, wire.Node{Type: wire.Hello, Start: 77, Age: 10}})
+	if n := s.loop.nodes[name(0)]; n.start != 77 || n.born != s.now-10*ms {
+		t.Fatal(n.start, n.born)
+	}
+	e := up(0)
+	e.Start, e.Age = 77, 500 // the list, later: the same start
+	s.do(ListSaid{wire.List{Type: wire.Update, Serial: 2, Nodes: []wire.Entry{e}}})
+	if n := s.loop.nodes[name(0)]; n.born != s.now-10*ms || n.link != link {
+		t.Fatal("one start is taken for two")
+	}
+	e.Start, e.Age = 78, 5
+	s.do(ListSaid{wire.List{Type: wire.Update, Serial: 3, Nodes: []wire.Entry{e}}})
+	if s.links[name(0)] == link {
+		t.Fatal("the old connection is kept")
+	}
+}
+
+// A node that is taken off and listed again while its sessions play keeps its connection, and is connected
+// to again should that end.
+func TestNodeListedAgain(t *testing.T) {
+	s := newStage(t, 1)
+	s.want("1", "clip")
+	s.do(said(s.oneLeg(), wire.Accepted))
+	link := s.links[name(0)]
+	off := up(0)
+	off.State = wire.Removed
+	s.do(ListSaid{wire.List{Type: wire.Update, Serial: 2, Nodes: []wire.Entry{off}}})
+	s.do(ListSaid{wire.List{Type: wire.Update, Serial: 3, Nodes: []wire.Entry{up(0)}}})
+	if len(s.told(wire.Over)) != 0 || s.links[name(0)] != link {
+		t.Fatal("the session was lost by it")
+	}
+	s.do(LinkLost{Link: link})
+	if s.links[name(0)] == link {
+		t.Fatal("not connected to again")
+	}
+	// Off for good: once the last leg has ended nothing of it is left.
+	s.do(LinkFailed{name(0), s.links[name(0)]})
+	s.do(ListSaid{wire.List{Type: wire.Whole, Serial: 4, Titles: []wire.Title{{Title: "t", Copies: 8}}}})
+	if len(s.loop.nodes) != 0 || len(s.loop.links) != 0 {
+		t.Fatal(len(s.loop.nodes), len(s.loop.links))
+	}
+}
+
+// What the module asks and can't be carried out comes back as what is true of it.
+func TestImpossibleDispatchIsMoot(t *testing.T) {
+	s := newStage(t, 1)
+	odd := &oddModule{}
+	s.loop.module = odd
+	s.want("1", "clip")
+	if len(odd.results) != 1 || odd.results[0].Outcome != policy.Moot || odd.results[0].Final {
+		t.Fatal(odd.results)
+	}
+	s.pass(3 * time.Second) // it never answers: the loop does
+	s.oneAnswer(wire.Errored)
+	if s.loop.counts.Overdue != 1 {
+		t.Fatal(s.loop.counts.Overdue)
+	}
+	s.empty()
+}
+
+type oddModule struct{ results []policy.Result }
+
+func (o *oddModule) Step(_ time.Duration, e policy.Event) []policy.Action {
+	switch e := e.(type) {
+	case policy.Demand:
+		return []policy.Action{policy.Dispatch{ID: e.ID, Node: "nowhere"}, policy.Nack{ID: 999}}
+	case policy.Result:
+		o.results = append(o.results, e)
+	}
+	return nil
+}
+
+func TestProofs(t *testing.T) {
+	for f, proven := range map[fate]bool{fateFull: true, fateUnmade: true, fateWithdrawn: true, fateUnsent: true, fateFailed: false,
+		fateTimedOut: false, fateReset: false, fateCalledOff: false, fateServed: false, fateBroken: false} {
+		outcome, proof := neverRan(f)
+		module := outcome == policy.Full || outcome == policy.Unconnected || outcome == policy.Moot
+		if proven != (proof > 0) || proven != module {
+			t.Error(f, outcome, proof)
+		}
+	}
+}
