Seats are counted as bookkeeping, not by a scan of all sessions

Need: with a seat limit the module's cost for a request grew with the sessions held. Change: a count by title and tariff, taken at the dispatch and given back at the leg's end; what is decided is the same.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -51,6 +51,7 @@
 	sessions []session    // a place is used again once its session has left the door
 	names    door[string] // emptied as nodes leave the list and their last session ends
 	nodes    []node
+	halls    map[hall]int // seats taken; emptied as sessions end
 }
 
 // New starts a director.
@@ -69,6 +70,7 @@
 		watch:   ramp.AskWithin / 2,
 		ids:     newDoor[uint64](),
 		names:   newDoor[string](),
+		halls:   map[hall]int{},
 	}
 }
 
@@ -121,6 +123,7 @@
 	}
 	s := &d.sessions[i]
 	s.sent = d.now
+	d.sit(s)
 	d.plays(s)
 	if n, ok := d.names.find(e.Playing); ok {
 		s.node = n
@@ -188,6 +191,7 @@
 		s.node = -1
 	}
 	s.phase = held
+	d.stand(s)
 	s.ran = s.ran || e.Outcome != Full && e.Outcome != Unconnected && e.Outcome != Moot
 	switch {
 	case e.Final || s.ended || was == playing:
@@ -266,6 +270,7 @@
 	}
 	d.do(Dispatch{s.ID, n.name, within})
 	s.phase, s.sent, s.suspected = setting, d.now, false
+	d.sit(s)
 	n.legs++
 	n.outs++
 	d.warmth.sent(n, d.now)
--- a/policy/state.go
+++ b/policy/state.go
@@ -135,18 +135,29 @@
 	return slices.DeleteFunc(times, func(at time.Duration) bool { return at <= after })
 }
 
-// seated counts the sessions that hold a seat of this one's title and tariff.
-func (d *Director) seated(s *session) int {
-	count := 0
-	for i := range d.sessions {
-		o := &d.sessions[i]
-		if o.used && o.phase != held && o.Title == s.Title && o.Tariff == s.Tariff {
-			count++
-		}
+// A hall is what seats are counted by.
+type hall struct {
+	title  uint64
+	tariff int
+}
+
+// sit takes a seat for a session that leaves the held phase, where its tariff has seats; stand gives it back.
+func (d *Director) sit(s *session) {
+	if d.rungs.tariffs[s.Tariff].Seats > 0 {
+		d.halls[hall{s.Title, s.Tariff}]++
 	}
-	return count
 }
 
+func (d *Director) stand(s *session) {
+	h := hall{s.Title, s.Tariff}
+	if d.halls[h]--; d.halls[h] <= 0 {
+		delete(d.halls, h)
+	}
+}
+
+// seated counts the sessions that hold a seat of this one's title and tariff.
+func (d *Director) seated(s *session) int { return d.halls[hall{s.Title, s.Tariff}] }
+
 // shares tells whether a live title's stream already runs where the session is.
 func (d *Director) shares(s *session) bool {
 	for i := range d.sessions {
