--- a/cmd/fordusher/day.go
+++ b/cmd/fordusher/day.go
@@ -22,6 +22,7 @@
 	Seed      uint64 `help:"What chance is drawn from." default:"1"`
 	JSON      bool   `help:"Print one object as the last line."`
 	Record    string `help:"Keep the witness record in this file; fordusher verify checks it again." type:"path"`
+	Processes bool   `help:"Run directors and nodes as processes of their own, so that they are killed outright."`
 	Logs      bool   `help:"Show the directors' log."`
 }
 
@@ -50,7 +51,16 @@
 	if c.Logs {
 		log = logger()
 	}
-	r, err := day.Run(ctx, s, day.Options{Seed: c.Seed, Log: log, Progress: func(line string) { fmt.Fprintln(os.Stderr, line) }})
+	opt := day.Options{Seed: c.Seed, Log: log, Progress: func(line string) { fmt.Fprintln(os.Stderr, line) }}
+	if c.Processes {
+		p, err := newProcesses()
+		if err != nil {
+			return err
+		}
+		defer p.close()
+		opt.Launch = p
+	}
+	r, err := day.Run(ctx, s, opt)
 	if err != nil {
 		return err
 	}
--- a/cmd/fordusher/main.go
+++ b/cmd/fordusher/main.go
@@ -23,6 +23,9 @@
 	Day    dayCommand    `cmd:"" help:"Run a scripted bad day on loopback and check the six rules from what crossed the sockets."`
 	Serve  serveCommand  `cmd:"" help:"Run one director."`
 	Check  checkCommand  `cmd:"" help:"Check a director's file."`
+	Node   nodeCommand   `cmd:"" help:"Run stand-in nodes."`
+	Roster rosterCommand `cmd:"" help:"Run a stand-in for the list's source."`
+	Player playerCommand `cmd:"" help:"Run one player: ask for a session and print what is answered."`
 	Verify verifyCommand `cmd:"" help:"Check the rules again from kept records."`
 }
 
--- /dev/null
+++ b/cmd/fordusher/standins.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/signal"
+	"time"
+
+	"fordusher/internal/standin/list"
+	"fordusher/internal/transport"
+	"fordusher/internal/wire"
+	"fordusher/internal/witness"
+)
+
+type rosterCommand struct {
+	File string `arg:"" help:"Nodes and titles: {\"nodes\": [...], \"titles\": [...]}, as in the list's messages." type:"path"`
+}
+
+// Run starts a stand-in for the list's source, prints its address, and takes changed nodes on standard
+// input, one entry a line, until that ends.
+func (c *rosterCommand) Run() error {
+	raw, err := os.ReadFile(c.File)
+	if err != nil {
+		return err
+	}
+	var all wire.List
+	if err := json.Unmarshal(raw, &all); err != nil {
+		return fmt.Errorf("%s: %w", c.File, err)
+	}
+	all.Type = wire.Whole
+	if _, err := wire.DecodeList(wire.Encode(all)); err != nil {
+		return fmt.Errorf("%s: %w", c.File, err)
+	}
+	source, err := list.Open(&witness.Recorder{}, all.Nodes, all.Titles)
+	if err != nil {
+		return err
+	}
+	defer source.Close()
+	json.NewEncoder(os.Stdout).Encode(ready{Listen: source.Address()})
+	in := bufio.NewScanner(os.Stdin)
+	for line := 1; in.Scan(); line++ {
+		var e wire.Entry
+		err := json.Unmarshal(in.Bytes(), &e)
+		if err == nil {
+			_, err = wire.DecodeList(wire.Encode(wire.List{Type: wire.Update, Nodes: []wire.Entry{e}}))
+		}
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "line %d: %v\n", line, err)
+			continue
+		}
+		born := time.Duration(0)
+		if e.Age > 0 {
+			born = witness.Clock() - time.Duration(e.Age)*time.Millisecond
+		}
+		source.Set(e, born, 0)
+	}
+	return in.Err()
+}
+
+type playerCommand struct {
+	Director string        `help:"The director's address." required:""`
+	Tariff   string        `help:"The tariff." required:""`
+	Title    string        `help:"The title." required:""`
+	Key      string        `help:"The viewer's key; without it, one drawn now."`
+	Wait     time.Duration `help:"How long the viewer waits for an answer." default:"3s"`
+	Length   time.Duration `help:"How long the viewer watches." default:"5s"`
+}
+
+// Run is one player: it asks for a session and prints every message until the session is over.
+func (c *playerCommand) Run() error {
+	if c.Key == "" {
+		c.Key = fmt.Sprintf("%016x", rand.Uint64())
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	p := &printer{in: make(chan wire.Session, 64), closed: make(chan error, 1)}
+	bounds := transport.Bounds{Message: wire.SessionMost, Queue: 64 << 10, Write: time.Second}
+	conn, err := transport.Dial(c.Director, wire.SessionProtocol, 2*time.Second, bounds, p, nil)
+	if err != nil {
+		return err
+	}
+	defer conn.Close(1000, "bye")
+	conn.Send(wire.Encode(wire.Session{Type: wire.Want, ID: "1", Tariff: c.Tariff, Title: c.Title, Key: c.Key,
+		Wait: c.Wait.Milliseconds(), Length: c.Length.Milliseconds()}), 0)
+	began := time.Now()
+	end := time.NewTimer(c.Wait + c.Length + time.Second)
+	defer end.Stop()
+	for {
+		select {
+		case m := <-p.in:
+			fmt.Printf("%8.1f ms  %s\n", float64(time.Since(began).Microseconds())/1000, wire.Encode(m))
+			if m.Type == wire.Nack || m.Type == wire.Errored || m.Type == wire.Over {
+				return nil
+			}
+		case err := <-p.closed:
+			return err
+		case <-end.C:
+			return fmt.Errorf("not over after %v", c.Wait+c.Length+time.Second)
+		case <-ctx.Done():
+			conn.Send(wire.Encode(wire.Session{Type: wire.Leave, ID: "1"}), 0)
+			return nil
+		}
+	}
+}
+
+type printer struct {
+	in     chan wire.Session
+	closed chan error
+}
+
+func (p *printer) Opened(*transport.Conn) {}
+
+func (p *printer) Message(_ *transport.Conn, raw []byte) {
+	if m, err := wire.DecodeSession(raw); err == nil {
+		select {
+		case p.in <- m:
+		default:
+		}
+	}
+}
+
+func (p *printer) Closed(_ *transport.Conn, why error, _ []uint64) { p.closed <- why }
--- a/internal/day/result.go
+++ b/internal/day/result.go
@@ -35,8 +35,14 @@
 // Kept tells whether every rule was kept and every request ended in exactly one way.
 func (r *Result) Kept() bool { return r.Rules.Kept() && r.Unanswered == 0 }
 
-func (g *rig) result() *Result {
+func (g *rig) result() (*Result, error) {
 	r := &Result{Seed: g.opt.Seed, Terms: g.terms(), Records: g.record.Records()}
+	more, err := g.fleet.Records()
+	if err != nil {
+		return nil, err
+	}
+	r.Records = append(r.Records, more...)
+	witness.Sort(r.Records)
 	r.judge()
 	h := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
 	for _, d := range g.crowd.Latency {
@@ -52,7 +58,7 @@
 	if asked > 0 {
 		r.Credit = credit / asked
 	}
-	return r
+	return r, nil
 }
 
 func ms(us int64) float64 { return float64(us) / 1000 }
--- a/internal/day/rig.go
+++ b/internal/day/rig.go
@@ -53,6 +53,8 @@
 	Address(node string) string
 	Start(node string) (start uint64, age time.Duration)
 	Do(x node.Fault)
+	// Records are what the nodes saw, where that is not in the day's own record.
+	Records() ([]witness.Record, error)
 	Close()
 }
 
@@ -118,7 +120,7 @@
 		return nil, err
 	}
 	g.run(ctx)
-	return g.result(), nil
+	return g.result()
 }
 
 // build lays out the site, and starts the nodes, the list and the directors.
--- a/internal/standin/node/host.go
+++ b/internal/standin/node/host.go
@@ -55,6 +55,9 @@
 	return h.farm.Start(h.now(), node)
 }
 
+// Records are none: what the host sees goes to the recorder that it was given.
+func (h *Host) Records() ([]witness.Record, error) { return nil, nil }
+
 // Close ends all nodes.
 func (h *Host) Close() {
 	close(h.quit)
