--- /dev/null
+++ b/internal/conf/conf_test.go
@@ -0,0 +1,103 @@
+package conf
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+)
+
+const good = `// a director
+{
+  "director": {"name": "d0", "me": 0, "directors": 2, "zone": "z"},
+  "listen": "127.0.0.1:0",
+  "list": {"address": "127.0.0.1:1"},
+  "tariffs": {
+    "clip": {"goal_time": "800ms", "hard_stop": "3s"},
+    "exam": {"goal_time": "1s", "hard_stop": "2s", "paid": true, "floor": 1, "seats": 2}, // paid
+  },
+  "ladder": {"rates": ["100kB/s", "1.6Mbit/s", "0.4MB/s"], "worth": [0.2, 0.5, 1]},
+  "fleet": {"cells": 8, "racks": 2, "link_unit": "1000kB/s", "uplink": "4000kB/s", "machines": {"box": 18}},
+  "ramp": {"warmup": "5s", "cold_from": 0.4, "multiple": 4, "tip_after": "1s"},
+  "limits": {"nodes": {"queue": "64kB"}},
+}
+`
+
+func TestGoodFileIsRead(t *testing.T) {
+	h, err := Read("f", []byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if h.Ladder.Rates[1] != 200 || h.Ladder.Rates[2] != 400 || h.Tariffs[1].Name != "exam" || !h.Tariffs[1].Paid ||
+		h.Tariffs[1].HardStop != 2*time.Second || h.Tariffs[0].Top != 2 || h.Ramp.Places[0] != 18 ||
+		h.Grace != 250*time.Millisecond || h.Door.Nodes.Queue != 64<<10 || h.Door.Nodes.Write != 100*time.Millisecond {
+		t.Fatalf("%+v", h)
+	}
+	if h.Module(1) == nil || h.Loop("b", 1, h.Module(1)) == nil {
+		t.Fatal("nothing runs by it")
+	}
+}
+
+// Each mistake is named by its line and column.
+func TestMistakesAreNamed(t *testing.T) {
+	for _, c := range []struct{ old, new, want string }{
+		{`"zone": "z"`, `"zon": "z"`, `f:3:55: unknown key "zon"; did you mean "zone"?`},
+		{`"zone": "z"`, `"zone": 5`, `f:3:63: "zone" has to be text`},
+		{`"me": 0`, `"me": 2`, `f:3:36: me is 2, but there are 2 directors`},
+		{`"me": 0`, `"me": 0.5`, `"me" is 0.5; it has to be a whole number`},
+		{`"me": 0, `, ``, `f:3:15: "me" is missing`},
+		{`"800ms"`, `"800"`, `f:7:27: "goal_time" is 800; a duration has a unit`},
+		{`"800ms"`, `800`, `"goal_time" has to be a duration`},
+		{`"800ms"`, `"4s"`, `f:7:27: goal_time is 4s, later than hard_stop (line 7), which is 3s`},
+		{`"800ms"`, `"2000h"`, `has to lie within 1ms to 1h`},
+		{`"floor": 1`, `"floor": 2, "top": 1`, `rule 5`},
+		{`"floor": 1`, `"floor": 9`, `has to lie within 0 to 2`},
+		{`"paid": true`, `"paid": "yes"`, `f:8:60: "paid" has to be true or false`},
+		{`"1.6Mbit/s"`, `"1.6Mbps"`, `f:10:35: "rates[1]" has to be a rate`},
+		{`"1.6Mbit/s"`, `"90kB/s"`, `rung 1 is not over rung 0`},
+		{`0.5, 1]`, `0.5]`, `worth has 2 entries, but rates has 3`},
+		{`"racks": 2`, `"racks": 9`, `there are 9 racks, but only 8 cells`},
+		{`"box": 18`, ``, `there is no kind of machine`},
+		{`"nodes": {"queue": "64kB"}`, `"nodes": {"write": "250ms"}`, `f:13:33: a write to a node may stand still for 250ms, as long as the drain grace`},
+		{`"nodes": {"queue": "64kB"}`, `"nodes": {"queue": "64"}`, `has to be a size`},
+		{`"limits"`, `"legs": {"spare": 3}, "limits"`, `"span" is missing`},
+		{`"limits"`, `"manners": {"answer_ahead": "2s"}, "limits"`, `no time to set up`},
+		{`"limits"`, `"reach": {"first": "9s"}, "limits"`, `longer than most`},
+		{`"listen": "127.0.0.1:0"`, `"listen": "here"`, `f:4:13: "listen" is "here"; it has to be host:port`},
+		{`"listen"`, `"director": {}, "listen"`, `f:4:3: "director" stands here again; line 3 has it already`},
+		{`"list": {`, `"list": [`, `f:5:`},
+		{`"tariffs": {`, `"tariffs": 5, "x": {`, `"tariffs" has to be an object`},
+	} {
+		text := strings.Replace(good, c.old, c.new, 1)
+		if text == good {
+			t.Fatalf("%q is not in the file", c.old)
+		}
+		_, err := Read("f", []byte(text))
+		if err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s:\n  got    %v\n  wanted %s", c.new, err, c.want)
+		}
+	}
+}
+
+func TestAllMistakesAtOnceInTheirOrder(t *testing.T) {
+	text := strings.NewReplacer(`"me": 0`, `"me": 7`, `"800ms"`, `"800"`, `"racks"`, `"rakcs"`).Replace(good)
+	_, err := Read("f", []byte(text))
+	problems, ok := errors.AsType[Problems](err)
+	if !ok || len(problems) != 4 { // a key misspelt is also a key missing
+		t.Fatal(err)
+	}
+	for i := 1; i < len(problems); i++ {
+		if problems[i].Line < problems[i-1].Line {
+			t.Fatal(err)
+		}
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add([]byte(good))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		if h, err := Read("f", text); (h == nil) == (err == nil) {
+			t.Fatal("neither a house nor an error")
+		}
+	})
+}
--- /dev/null
+++ b/internal/daemon/daemon_test.go
@@ -0,0 +1,320 @@
+package daemon
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/gobwas/ws"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"fordusher/internal/conf"
+	"fordusher/internal/standin/list"
+	"fordusher/internal/standin/node"
+	"fordusher/internal/transport"
+	"fordusher/internal/wire"
+	"fordusher/internal/witness"
+)
+
+const ms = time.Millisecond
+
+// A place is one director with stand-ins around it.
+type place struct {
+	t      *testing.T
+	d      *Daemon
+	host   *node.Host
+	list   *list.Source
+	record *witness.Recorder
+}
+
+func open(t *testing.T, nodes int, change ...string) *place {
+	t.Helper()
+	p := &place{t: t, record: &witness.Recorder{}}
+	var machines []node.Machine
+	for i := range nodes {
+		machines = append(machines, node.Machine{Name: fmt.Sprint("n", i), Kind: "box", Places: 50, Link: 1e5, Cores: 2, Work: 2 * ms})
+	}
+	site := node.Site{Uplinks: []float64{1e6}, Warmup: time.Second, ColdFrom: 0.5, Multiple: 4, TipAfter: time.Second,
+		Late: 100 * ms, Every: time.Second, Refresh: 100 * ms}
+	var err error
+	if p.host, err = node.Open(node.NewFarm(1, site, machines), p.record, nil); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.host.Close)
+	var entries []wire.Entry
+	for i, m := range machines {
+		entries = append(entries, wire.Entry{Node: m.Name, Address: p.host.Address(m.Name), State: wire.Up, Kind: "box", Weight: 1, Cell: i, Start: 1})
+	}
+	if p.list, err = list.Open(p.record, entries, []wire.Title{{Title: "t", Copies: 8}}); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.list.Close)
+	p.d = start(t, p.list.Address(), change...)
+	p.settle(nodes)
+	return p
+}
+
+func start(t *testing.T, listAddress string, change ...string) *Daemon {
+	t.Helper()
+	text := `{"director": {"name": "d", "me": 0, "directors": 1}, "listen": "127.0.0.1:0", "list": {"address": "` + listAddress + `"},
+		"tariffs": {"clip": {"goal_time": "1s", "hard_stop": "2s"}, "exam": {"goal_time": "1s", "hard_stop": "2s", "paid": true}},
+		"ladder": {"rates": ["100kB/s", "200kB/s"]},
+		"fleet": {"cells": 8, "racks": 1, "link_unit": "100000kB/s", "uplink": "1000000kB/s", "machines": {"box": 50}},
+		"ramp": {"warmup": "100ms", "cold_from": 0.5, "multiple": 4, "tip_after": "100ms"},
+		"manners": {"ping": "100ms", "linger": "300ms"}, "closing": {"within": "1s", "slice": "50ms"}, "limits": {"inbox": 64}}`
+	for i := 0; i+1 < len(change); i += 2 {
+		text = strings.Replace(text, change[i], change[i+1], 1)
+	}
+	house, err := conf.Read("d.jsonc", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, err := Start(house, "b", 1, house.Module(1), zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Kill)
+	return d
+}
+
+// settle waits until the director is connected to its nodes.
+func (p *place) settle(links int) {
+	p.t.Helper()
+	within(p.t, "connections to all nodes", func() bool { return p.d.seen.Load().links == links })
+	time.Sleep(120 * ms) // past the caution of a director that has just started
+}
+
+func within(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !ok(); time.Sleep(ms) {
+		if time.Now().After(end) {
+			t.Fatal("not within 10 s: ", what)
+		}
+	}
+}
+
+// A client is a bare player's connection.
+type client struct {
+	in     chan string
+	closed chan error
+}
+
+func (p *client) Opened(*transport.Conn)                          {}
+func (p *client) Message(_ *transport.Conn, m []byte)             { p.in <- string(m) }
+func (p *client) Closed(_ *transport.Conn, why error, _ []uint64) { p.closed <- why }
+
+func dial(t *testing.T, address string) (*transport.Conn, *client) {
+	t.Helper()
+	p := &client{make(chan string, 1000), make(chan error, 1)}
+	c, err := transport.Dial(address, wire.SessionProtocol, 2*time.Second,
+		transport.Bounds{Message: 1 << 20, Queue: 1 << 20, Write: 5 * time.Second}, p, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c, p
+}
+
+func want(id, tariff string) []byte {
+	return wire.Encode(wire.Session{Type: wire.Want, ID: id, Tariff: tariff, Title: "t", Key: "k" + id, Wait: 2000, Length: 60_000})
+}
+
+func (p *client) answer(t *testing.T) wire.Session {
+	t.Helper()
+	select {
+	case raw := <-p.in:
+		m, err := wire.DecodeSession([]byte(raw))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return m
+	case why := <-p.closed:
+		t.Fatal("closed: ", why)
+	case <-time.After(10 * time.Second):
+		t.Fatal("no answer")
+	}
+	return wire.Session{}
+}
+
+func (p *client) end(t *testing.T) error {
+	t.Helper()
+	for {
+		select {
+		case why := <-p.closed:
+			return why
+		case <-p.in:
+		case <-time.After(10 * time.Second):
+			t.Fatal("not closed")
+		}
+	}
+}
+
+func TestRequestPlaysOverSockets(t *testing.T) {
+	p := open(t, 3)
+	c, in := dial(t, p.d.Address())
+	c.Send(want("1", "exam"), 0)
+	if m := in.answer(t); m.Type != wire.Plays || m.Address == "" {
+		t.Fatal(m)
+	}
+	families, err := func() (n int, err error) {
+		r := prometheus.NewRegistry()
+		r.MustRegister(p.d)
+		all, err := r.Gather()
+		return len(all), err
+	}()
+	if err != nil || families < 20 {
+		t.Fatal(families, err)
+	}
+}
+
+// Malformed, oversized and flooding players are closed with a reason that says why, and nobody else notices.
+func TestBadPlayersAreClosedAndCounted(t *testing.T) {
+	p := open(t, 2)
+	other, heard := dial(t, p.d.Address())
+	for text, want := range map[string]string{
+		"{":                                     "1007",
+		`{"t":"want","id":"1"}`:                 "1007 want needs",
+		`{"t":"plays","id":"1"}`:                "1008 players do not say plays",
+		strings.Repeat("x", wire.SessionMost+1): "1009",
+	} {
+		c, in := dial(t, p.d.Address())
+		c.Send([]byte(text), 0)
+		if why := in.end(t); !strings.Contains(why.Error(), want) {
+			t.Errorf("%.30q: %v, wanted %s", text, why, want)
+		}
+	}
+	if n := p.d.refused[0].Load(); n != 2 {
+		t.Error(n, "malformed messages counted")
+	}
+	other.Send(want("1", "clip"), 0)
+	if m := heard.answer(t); m.Type != wire.Plays {
+		t.Fatal(m)
+	}
+}
+
+// A node and a list that send what nobody understands lose their connection; the director goes on with
+// the others, and comes back to them.
+func TestBadNodeAndListAreLeft(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	visits := make(chan bool, 100)
+	go func() { // a list that greets and then says nonsense
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			up := ws.Upgrader{Protocol: func([]byte) bool { return true }}
+			if _, err := up.Upgrade(c); err == nil {
+				c.Write(ws.MustCompileFrame(ws.NewTextFrame([]byte(`{"t":"whole","nodes":[{"state":"up"}]}`))))
+			}
+			visits <- true
+			time.AfterFunc(time.Second, func() { c.Close() })
+		}
+	}()
+	d := start(t, ln.Addr().String())
+	for range 2 { // it comes back
+		select {
+		case <-visits:
+		case <-time.After(10 * time.Second):
+			t.Fatal("the list is not asked again")
+		}
+	}
+	within(t, "the malformed list is counted", func() bool { return d.refused[2].Load() > 0 })
+	c, in := dial(t, d.Address())
+	c.Send(want("1", "clip"), 0)
+	if m := in.answer(t); m.Type != wire.Nack || m.Why != "unknown title" {
+		t.Fatal(m)
+	}
+}
+
+// A node whose connection died without a word: the session on it is over within three signs of life.
+func TestHalfOpenNodeIsNoticed(t *testing.T) {
+	p := open(t, 1)
+	c, in := dial(t, p.d.Address())
+	c.Send(want("1", "clip"), 0)
+	if m := in.answer(t); m.Type != wire.Plays {
+		t.Fatal(m)
+	}
+	p.host.Do(node.Fault{Node: "n0", Silent: new(true)})
+	for m := in.answer(t); m.Type != wire.Over; m = in.answer(t) {
+		if m.Type != wire.Rung {
+			t.Fatal(m)
+		}
+	}
+	p.host.Do(node.Fault{Node: "n0", Start: true})
+	p.settle(1)
+}
+
+// An order to stop: the set-up under way is answered, the session that plays is ended, and the director
+// is gone within its term.
+func TestStopAnswersAndEnds(t *testing.T) {
+	p := open(t, 2)
+	c, in := dial(t, p.d.Address())
+	c.Send(want("1", "clip"), 0)
+	if m := in.answer(t); m.Type != wire.Plays {
+		t.Fatal(m)
+	}
+	p.host.Do(node.Fault{Slow: new(100.0)}) // set-ups take a fifth of a second
+	c.Send(want("2", "exam"), 0)
+	within(t, "the set-up is out", func() bool { return p.d.seen.Load().owed == 1 })
+	began := time.Now()
+	p.d.Stop()
+	got := map[string]string{}
+	for len(got) < 2 {
+		if m := in.answer(t); m.Type != wire.Rung {
+			got[m.ID+m.Type] = m.Why
+		}
+	}
+	if why, ok := got["2"+wire.Plays]; !ok {
+		if _, ok := got["1"+wire.Over]; !ok {
+			t.Fatal(got, why)
+		}
+	}
+	if why := in.end(t); !strings.Contains(why.Error(), "1001") {
+		t.Fatal(why)
+	}
+	select {
+	case <-p.d.Done():
+	case <-time.After(10 * time.Second):
+		t.Fatal("not ended")
+	}
+	if took := time.Since(began); took > 5*time.Second { // the term is 1 s
+		t.Fatal(took)
+	}
+	if _, err := transport.Dial(p.d.Address(), wire.SessionProtocol, 200*ms, transport.Bounds{Message: 100, Queue: 100}, in, nil); err == nil {
+		t.Fatal("still taking connections")
+	}
+}
+
+// A peer that floods the inbox holds no more of it than its bound, and others are answered meanwhile.
+func TestFloodOfOnePeerIsCutOff(t *testing.T) {
+	p := open(t, 2)
+	c, in := dial(t, p.d.Address())
+	leave := wire.Encode(wire.Session{Type: wire.Leave, ID: "none"})
+	for range 200_000 {
+		if !c.Send(leave, 0) {
+			break
+		}
+	}
+	other, heard := dial(t, p.d.Address())
+	other.Send(want("1", "clip"), 0)
+	if m := heard.answer(t); m.Type != wire.Plays {
+		t.Fatal(m)
+	}
+	// It is cut off, or was worked off as fast as it came; held back it is not.
+	select {
+	case <-in.closed:
+	default:
+	}
+	p.d.inbox.mu.Lock()
+	defer p.d.inbox.mu.Unlock()
+	if n := len(p.d.inbox.items); n > 64+10 {
+		t.Fatal(n, "items wait")
+	}
+}
--- /dev/null
+++ b/internal/day/day_test.go
@@ -0,0 +1,157 @@
+package day
+
+import (
+	"context"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fordusher/internal/director"
+	"fordusher/internal/witness"
+	"fordusher/policy"
+)
+
+// short is a bad day of six seconds: drains, a crash, lost answers, a lagging list and killed directors
+// overlap.
+const short = `{
+  "length": "6s", "requests": 500, "directors": 3, "nodes": 12, "racks": 3, "titles": 10, "load": 0.8,
+  "viewers": {"mean_length": "1500ms", "hasty": 0.1, "repeats": 0.05, "drops": 0.1},
+  "list": {"notice_low": "100ms", "notice_high": "400ms", "silent_notice": "1s"},
+  "troubles": [
+    {"kind": "answer_lost", "at": "500ms", "for": "3s", "share": 0.3, "size": 0.3},
+    {"kind": "crash", "at": "1s", "for": "1s", "share": 0.1},
+    {"kind": "deploy", "at": "1s", "for": "3s", "share": 0.4, "size": 0.5},
+    {"kind": "discovery_stale", "at": "1500ms", "for": "2s", "size": 1},
+    {"kind": "balancer_roll", "at": "2s", "for": "2s", "share": 0.4, "size": 0.3},
+    {"kind": "hang", "at": "2500ms", "for": "1s", "share": 0.1},
+    {"kind": "vanish", "at": "3s", "for": "1s", "share": 0.1},
+  ],
+}`
+
+// CI machines stall; what the witness must not forgive there is far larger than a second.
+const slack = 400 * time.Millisecond
+
+func run(t *testing.T, text string, opt Options) *Result {
+	t.Helper()
+	s, err := Read("test.jsonc", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	opt.Log, opt.Slack = zerolog.Nop(), slack
+	if opt.Seed == 0 {
+		opt.Seed = 1
+	}
+	r, err := Run(context.Background(), s, opt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func TestShortBadDayKeepsTheRules(t *testing.T) {
+	r := run(t, short, Options{})
+	if !r.Kept() {
+		r.Print(os.Stderr)
+		t.Fatal("a rule was broken")
+	}
+	if r.Taken != r.Played+r.Nacked+r.Errored+r.Gone || r.Played < 100 || r.Viewers != 500 {
+		t.Fatalf("%+v", r)
+	}
+	for _, rule := range []string{witness.RuleAnswer, witness.RuleOnce, witness.RuleDrain, witness.RuleCold, witness.RuleTerms} {
+		if r.Rules[rule].Checked < 5 {
+			t.Errorf("%s was checked %d times", rule, r.Rules[rule].Checked)
+		}
+	}
+}
+
+// Every kind of trouble runs, one after another, in a day of its own kind.
+func TestEveryTroubleRuns(t *testing.T) {
+	var troubles []string
+	for _, k := range Kinds {
+		troubles = append(troubles, `{"kind": "`+k+`", "at": "300ms", "for": "700ms", "share": 0.08}`)
+	}
+	r := run(t, `{"length": "3s", "requests": 200, "directors": 2, "nodes": 20, "racks": 4, "titles": 10,
+		"viewers": {"mean_length": "800ms"}, "list": {"notice_low": "50ms", "notice_high": "200ms"},
+		"troubles": [`+strings.Join(troubles, ",")+`]}`, Options{Seed: 2})
+	if !r.Kept() {
+		r.Print(os.Stderr)
+		t.Fatal("a rule was broken")
+	}
+}
+
+// A broken module, as far as the loop lets it break a rule, is seen by the witness.
+type broken struct {
+	director.Decider
+	change func(policy.Event, []policy.Action) []policy.Action
+}
+
+func (b broken) Step(now time.Duration, e policy.Event) []policy.Action {
+	return b.change(e, b.Decider.Step(now, e))
+}
+
+func TestWitnessSeesABrokenModule(t *testing.T) {
+	drained := map[string]bool{}
+	for rule, change := range map[string]func(policy.Event, []policy.Action) []policy.Action{
+		// A floor is ignored, in the module's own words.
+		witness.RuleTerms: func(_ policy.Event, out []policy.Action) []policy.Action {
+			for i, a := range out {
+				if r, ok := a.(policy.Rate); ok {
+					out[i] = policy.Rate{ID: r.ID, Rung: 0}
+				}
+			}
+			return out
+		},
+		// Whoever drains is sent to on purpose.
+		witness.RuleDrain: func(e policy.Event, out []policy.Action) []policy.Action {
+			if r, ok := e.(policy.Roster); ok {
+				for _, x := range r.Entries {
+					if x.State == policy.Draining {
+						drained[x.Node] = true
+					}
+				}
+			}
+			for i, a := range out {
+				if d, ok := a.(policy.Dispatch); ok && len(drained) > 0 {
+					for d.Node = range drained {
+						out[i] = d
+					}
+				}
+			}
+			return out
+		},
+		// Whoever failed is tried again, paid or not.
+		witness.RuleOnce: func(e policy.Event, out []policy.Action) []policy.Action {
+			if r, ok := e.(policy.Result); ok && r.Outcome == policy.Errored && !r.Final {
+				return []policy.Action{policy.Dispatch{ID: r.ID, Node: r.Node}}
+			}
+			return out
+		},
+	} {
+		script := `{"length": "2s", "requests": 200, "directors": 1, "nodes": 6, "racks": 2, "titles": 4,
+			"viewers": {"mean_length": "500ms"}, "list": {"notice_low": "50ms", "notice_high": "100ms"},
+			"troubles": [{"kind": "fast_errors", "at": "200ms", "for": "2s", "share": 0.5, "size": 0.5},
+				{"kind": "preempt", "at": "300ms", "for": "500ms", "share": 0.3, "size": 2}]}`
+		r := run(t, script, Options{Wrap: func(d director.Decider) director.Decider { return broken{d, change} }})
+		if r.Rules[rule].Broken == 0 {
+			t.Errorf("%s is broken on purpose and not seen: %+v", rule, r.Rules[rule])
+		}
+	}
+}
+
+func TestScriptMistakesAreNamed(t *testing.T) {
+	for _, c := range []struct{ text, want string }{
+		{`{"lenght": "5s"}`, `s:1:2: unknown key "lenght"; did you mean "length"?`},
+		{`{"troubles": [{"kind": "flood", "at": "1s"}]}`, `unknown trouble "flood"`},
+		{`{"length": "5s", "troubles": [{"kind": "crash", "at": "9s"}]}`, `crash begins at 9s, but the day ends at 5s`},
+		{`{"troubles": [{"kind": "crash"}]}`, `"at" is missing`},
+		{`{"nodes": 2, "racks": 5}`, `there are 5 racks for 2 nodes`},
+		{`{`, `s:1:`},
+	} {
+		if _, err := Read("s", []byte(c.text)); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: %v", c.text, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/node/farm_test.go
@@ -0,0 +1,196 @@
+package node
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"fordusher/internal/wire"
+)
+
+const ms = time.Millisecond
+
+var site = Site{Uplinks: []float64{3000, 1e9}, Warmup: 10 * time.Second, ColdFrom: 0.5, Multiple: 2, TipAfter: time.Second,
+	Late: 500 * ms, Every: 2 * time.Second, Refresh: 100 * ms}
+
+func newFarm() *Farm {
+	return NewFarm(1, site, []Machine{
+		{Name: "a", Rack: 0, Places: 10, Link: 1000, Cores: 2, Work: 10 * ms},
+		{Name: "b", Rack: 0, Places: 10, Link: 4000, Cores: 2, Work: 10 * ms},
+		{Name: "c", Rack: 1, Places: 50, Link: 1e9, Cores: 2, Work: 10 * ms},
+	})
+}
+
+func setup(leg uint64, rate float64) wire.Node {
+	return wire.Node{Type: wire.Setup, Leg: leg, Session: "s", Rate: rate, Length: 60_000}
+}
+
+// run steps a farm until a time and returns what it says, by type.
+func run(f *Farm, until time.Duration) (said []wire.Node) {
+	for at, ok := f.Next(); ok && at <= until; at, ok = f.Next() {
+		for _, o := range f.Step(at) {
+			said = append(said, o.Message)
+		}
+	}
+	return said
+}
+
+func count(said []wire.Node, kind string) (n int) {
+	for _, m := range said {
+		if m.Type == kind {
+			n++
+		}
+	}
+	return n
+}
+
+// Worked by hand: on a link of 1000 three sessions ask 400, 400 and 800, so each gets 1000/1600 of its
+// rate; with two more of 1200 each on the neighbour the uplink of 3000 is asked 4000 and gives 3/4, which
+// is less than the neighbour's own link would, and more than the first one's.
+func TestShortfallIsSharedEvenly(t *testing.T) {
+	f := newFarm()
+	f.Opened(0, "a", 1)
+	f.Opened(0, "b", 2)
+	for i, rate := range []float64{400, 400, 800} {
+		f.Said(0, "a", 1, setup(uint64(i+1), rate))
+	}
+	if s := f.share(f.nodes["a"]); math.Abs(s-0.625) > 1e-9 {
+		t.Fatal(s)
+	}
+	f.Said(0, "b", 2, setup(1, 1200))
+	f.Said(0, "b", 2, setup(2, 1200))
+	if a, b := f.share(f.nodes["a"]), f.share(f.nodes["b"]); math.Abs(a-0.625) > 1e-9 || math.Abs(b-0.75) > 1e-9 {
+		t.Fatal(a, b)
+	}
+	f.Apply(0, Fault{Rack: new(0), Shrink: new(2.0)})
+	if b := f.share(f.nodes["b"]); math.Abs(b-0.375) > 1e-9 {
+		t.Fatal(b)
+	}
+}
+
+func TestNotesComeLateAndOnce(t *testing.T) {
+	f := newFarm()
+	f.Opened(0, "a", 1)
+	f.Said(0, "a", 1, setup(1, 2000))
+	var first time.Duration
+	shares := 0
+	for at, ok := f.Next(); ok && at < 4500*ms; at, ok = f.Next() {
+		for _, o := range f.Step(at) {
+			if o.Message.Kind == 1 {
+				shares++
+				if first == 0 {
+					first = at
+				}
+				if math.Abs(o.Message.Value-0.5) > 1e-9 {
+					t.Fatal(o.Message.Value)
+				}
+			}
+		}
+	}
+	if first < 1500*ms || shares < 3 || shares > 4 {
+		t.Fatal(first, shares)
+	}
+	f.Said(4500*ms, "a", 1, wire.Node{Type: wire.Rung, Leg: 1, Rate: 100})
+	after := 0
+	for _, m := range run(f, 12*time.Second) {
+		if m.Kind == 1 && m.Value >= 0.98 {
+			after++
+		}
+	}
+	if after != 1 {
+		t.Fatal("the note that ends it came", after)
+	}
+}
+
+func TestPlacesAndFullAnswers(t *testing.T) {
+	f := newFarm()
+	f.Opened(0, "a", 1)
+	full := 0
+	for i := range 12 {
+		for _, o := range f.Said(0, "a", 1, setup(uint64(i+1), 1)) {
+			full += count([]wire.Node{o.Message}, wire.Full)
+		}
+	}
+	if full != 2 || f.Streams("a") != 10 {
+		t.Fatal(full, f.Streams("a"))
+	}
+	if n := count(run(f, time.Second), wire.Accepted); n != 10 {
+		t.Fatal(n)
+	}
+}
+
+// Pushed by all directors together over its budget a cold node falls over; at the pace it does not.
+func TestColdNodeFallsOver(t *testing.T) {
+	for _, push := range []bool{false, true} {
+		f := newFarm()
+		f.Apply(0, Fault{Node: "c", Start: true})
+		f.Opened(0, "c", 1)
+		f.Opened(0, "c", 2)
+		fell := false
+		every := 200 * ms // 2 x 50 places / 10 s x 0.5 = 5 a second
+		if push {
+			every = 50 * ms
+		}
+		for i := range 20 {
+			for _, o := range f.Said(time.Duration(i)*every, "c", uint64(1+i%2), setup(uint64(i+1), 1)) {
+				fell = fell || o.Fell
+			}
+		}
+		if fell != push {
+			t.Fatalf("pushed %v, fell %v", push, fell)
+		}
+	}
+}
+
+func TestFaults(t *testing.T) {
+	f := newFarm()
+	f.Opened(0, "a", 1)
+	f.Apply(0, Fault{Node: "a", Hang: new(true)})
+	f.Said(0, "a", 1, setup(1, 1))
+	if n := len(run(f, 3*time.Second)); n != 0 {
+		t.Fatal("a node that hangs has said", n)
+	}
+	late := f.Apply(3*time.Second, Fault{Node: "a", Hang: new(false)})
+	if len(late) == 0 || late[0].Message.Type != wire.Accepted {
+		t.Fatal("what waited does not go out", late)
+	}
+	f.Apply(3*time.Second, Fault{Node: "a", Fail: new(1.0)})
+	if o := f.Said(3*time.Second, "a", 1, setup(2, 1)); len(o) != 1 || o[0].Message.Type != wire.Failed {
+		t.Fatal(o)
+	}
+	f.Apply(3*time.Second, Fault{Node: "a", Fail: new(0.0), Lose: new(1.0)})
+	f.Said(3*time.Second, "a", 1, setup(3, 1))
+	if n := count(run(f, 4*time.Second), wire.Accepted); n != 0 || f.Streams("a") != 2 {
+		t.Fatal("a lost answer came, or its work did not run", n, f.Streams("a"))
+	}
+	f.Apply(4*time.Second, Fault{Node: "a", Lose: new(0.0), Twice: new(1.0)})
+	f.Said(4*time.Second, "a", 1, setup(4, 1))
+	if n := count(run(f, 5*time.Second), wire.Accepted); n != 2 {
+		t.Fatal(n)
+	}
+	if o := f.Apply(5*time.Second, Fault{Node: "a", Die: true}); len(o) != 1 || !o[0].Cut {
+		t.Fatal(o)
+	}
+	if o := f.Said(5*time.Second, "a", 1, setup(5, 1)); len(o) != 0 {
+		t.Fatal("a dead node speaks", o)
+	}
+	before, _ := f.Start(5*time.Second, "a")
+	f.Apply(6*time.Second, Fault{Node: "a", Start: true})
+	if start, age := f.Start(7*time.Second, "a"); start == before || age != time.Second {
+		t.Fatal(start, age)
+	}
+}
+
+// A set-up that comes to its turn after its time is not started.
+func TestOverdueSetupIsNotStarted(t *testing.T) {
+	f := newFarm()
+	f.Opened(0, "a", 1)
+	f.Apply(0, Fault{Node: "a", Slow: new(20.0)})
+	m := setup(1, 1)
+	m.Within = 50
+	f.Said(0, "a", 1, m)
+	said := run(f, time.Second)
+	if count(said, wire.Accepted) != 0 || count(said, wire.Failed) != 1 || f.Streams("a") != 0 {
+		t.Fatal(said)
+	}
+}
