--- a/cmd/fordusher/day.go
+++ b/cmd/fordusher/day.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -23,6 +24,7 @@
 	JSON      bool   `help:"Print one object as the last line."`
 	Record    string `help:"Keep the witness record in this file; fordusher verify checks it again." type:"path"`
 	Processes bool   `help:"Run directors and nodes as processes of their own, so that they are killed outright."`
+	Baseline  string `help:"Put a baseline in the module's place: random-lowest or least-middle." enum:"random-lowest,least-middle,none" default:"none"`
 	Logs      bool   `help:"Show the directors' log."`
 }
 
@@ -52,6 +54,10 @@
 		log = logger()
 	}
 	opt := day.Options{Seed: c.Seed, Log: log, Progress: func(line string) { fmt.Fprintln(os.Stderr, line) }}
+	opt.Module = day.Baselines[c.Baseline]
+	if c.Processes && opt.Module != nil {
+		return errors.New("a baseline runs in the day's own process only: leave out --processes or --baseline")
+	}
 	if c.Processes {
 		p, err := newProcesses()
 		if err != nil {
--- a/cmd/fordusher/main.go
+++ b/cmd/fordusher/main.go
@@ -26,6 +26,7 @@
 	Node   nodeCommand   `cmd:"" help:"Run stand-in nodes."`
 	Roster rosterCommand `cmd:"" help:"Run a stand-in for the list's source."`
 	Player playerCommand `cmd:"" help:"Run one player: ask for a session and print what is answered."`
+	Load   loadCommand   `cmd:"" help:"Put a load on a director and measure it."`
 	Verify verifyCommand `cmd:"" help:"Check the rules again from kept records."`
 }
 
--- a/cmd/fordusher/processes.go
+++ b/cmd/fordusher/processes.go
@@ -41,7 +41,13 @@
 
 // spawn starts a process and reads its first line into ready.
 func (p *processes) spawn(ready any, args ...string) (*exec.Cmd, io.WriteCloser, *bufio.Reader, error) {
+	return p.spawnWith(nil, ready, args...)
+}
+
+// spawnWith does so with more in the environment.
+func (p *processes) spawnWith(env []string, ready any, args ...string) (*exec.Cmd, io.WriteCloser, *bufio.Reader, error) {
 	cmd := exec.Command(p.self, args...)
+	cmd.Env = append(os.Environ(), env...)
 	in, err := cmd.StdinPipe()
 	if err != nil {
 		return nil, nil, nil, err
--- a/cmd/fordusher/serve.go
+++ b/cmd/fordusher/serve.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/pprof"
 	"strconv"
 	"syscall"
 	"time"
@@ -22,9 +23,10 @@
 )
 
 type serveCommand struct {
-	Conf string `help:"The director's file." required:"" type:"path"`
-	Seed uint64 `help:"What chance is drawn from; without it, the machine's own."`
-	Boot string `help:"A word that no other run of this director has used; without it, the time."`
+	Conf    string `help:"The director's file." required:"" type:"path"`
+	Seed    uint64 `help:"What chance is drawn from; without it, the machine's own."`
+	Profile string `help:"Write a profile of the processor time used into this file, until the director ends." type:"path"`
+	Boot    string `help:"A word that no other run of this director has used; without it, the time."`
 }
 
 // ready is printed once players can connect: one JSON object on a line of standard output.
@@ -69,6 +71,19 @@
 		return err
 	}
 	fmt.Println(string(line))
+	if c.Profile != "" {
+		f, err := os.Create(c.Profile)
+		if err != nil {
+			d.Kill()
+			return err
+		}
+		defer f.Close()
+		if err := pprof.StartCPUProfile(f); err != nil {
+			d.Kill()
+			return err
+		}
+		defer pprof.StopCPUProfile()
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	select {
--- /dev/null
+++ b/internal/day/baseline.go
@@ -0,0 +1,120 @@
+package day
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"fordusher/internal/conf"
+	"fordusher/internal/director"
+	"fordusher/policy"
+)
+
+// Baselines are deciders to measure the module against, behind the same loop: they know the list and
+// drains, and keep a paid session from a second set-up, but judge nothing.
+var Baselines = map[string]func(h *conf.House, seed uint64) director.Decider{
+	"random-lowest": func(h *conf.House, seed uint64) director.Decider { return newBaseline(h, seed, false) },
+	"least-middle":  func(h *conf.House, seed uint64) director.Decider { return newBaseline(h, seed, true) },
+}
+
+// A baseline sets up at once on some holder and never looks back: a random one at the lowest rung, or the
+// one with the fewest streams at the middle rung.
+type baseline struct {
+	house    *conf.House
+	chance   *rand.Rand
+	least    bool
+	nodes    map[string]policy.Entry
+	order    []string
+	streams  map[string]float64
+	sessions map[uint64]*plain // emptied as sessions end
+}
+
+type plain struct {
+	policy.Demand
+	legs int
+	node string
+	ran  bool
+}
+
+func newBaseline(h *conf.House, seed uint64, least bool) *baseline {
+	return &baseline{house: h, chance: rand.New(rand.NewPCG(seed, 5)), least: least, nodes: map[string]policy.Entry{},
+		streams: map[string]float64{}, sessions: map[uint64]*plain{}}
+}
+
+// Step takes what happened and returns what is to be done.
+func (b *baseline) Step(now time.Duration, e policy.Event) []policy.Action {
+	switch e := e.(type) {
+	case policy.Roster:
+		if e.Kind != policy.Update {
+			clear(b.nodes)
+			b.order = nil
+		}
+		for _, x := range e.Entries {
+			if _, known := b.nodes[x.Node]; !known {
+				b.order = append(b.order, x.Node)
+			}
+			b.nodes[x.Node] = x
+		}
+	case policy.Demand:
+		s := &plain{Demand: e}
+		b.sessions[e.ID] = s
+		return b.place(now, s)
+	case policy.Result:
+		s := b.sessions[e.ID]
+		if s == nil {
+			return nil
+		}
+		if s.node != "" {
+			b.streams[s.node]--
+			s.node = ""
+		}
+		if e.Load.Streams >= 0 {
+			b.streams[e.Node] = e.Load.Streams
+		}
+		if e.Final {
+			delete(b.sessions, e.ID)
+			return nil
+		}
+		s.ran = s.ran || e.Outcome != policy.Full && e.Outcome != policy.Unconnected && e.Outcome != policy.Moot
+		return b.place(now, s)
+	case policy.Gone:
+		if s := b.sessions[e.ID]; s != nil && s.node == "" {
+			delete(b.sessions, e.ID)
+		}
+	}
+	return nil
+}
+
+func (b *baseline) place(now time.Duration, s *plain) []policy.Action {
+	t := &b.house.Tariffs[s.Tariff]
+	cells := b.house.Fleet.Cells
+	var holders []string
+	for _, name := range b.order {
+		if n := b.nodes[name]; n.State == policy.Up && (n.Cell-s.Base+cells)%cells < s.Copies {
+			holders = append(holders, name)
+		}
+	}
+	if s.ran && t.Paid || len(holders) == 0 || s.legs >= b.house.Legs.Most || now >= s.HardStop {
+		delete(b.sessions, s.ID)
+		if s.ran && t.Paid {
+			return []policy.Action{policy.Fail{ID: s.ID}}
+		}
+		return []policy.Action{policy.Nack{ID: s.ID, Backoff: b.house.Tidings.Backoff}}
+	}
+	at, rung := holders[b.chance.IntN(len(holders))], t.Floor
+	if b.least {
+		rung = max(t.Floor, min(len(b.house.Ladder.Rates)/2, t.Top, s.Top))
+		for _, name := range holders {
+			if b.streams[name] < b.streams[at] {
+				at = name
+			}
+		}
+	}
+	s.legs++
+	s.node = at
+	b.streams[at]++
+	var within time.Duration
+	if !t.Paid {
+		within = min(t.GoalTime*2/5, s.HardStop-now)
+	}
+	return []policy.Action{policy.Rate{ID: s.ID, Rung: rung}, policy.Dispatch{ID: s.ID, Node: at, Within: within}}
+}
--- a/internal/day/result.go
+++ b/internal/day/result.go
@@ -24,7 +24,7 @@
 	P50        float64         `json:"p50_ms"`
 	P99        float64         `json:"p99_ms"`
 	Most       float64         `json:"max_ms"`
-	Credit     float64         `json:"credit"` // within the goal time, over what was asked for
+	Credit     float64         `json:"credit"` // of sessions that played within the goal time, over what was asked for at the best rung
 	Legs       int             `json:"legs"`
 	Rules      witness.Verdict `json:"rules"`
 
@@ -50,11 +50,15 @@
 	}
 	r.P50, r.P99, r.Most = ms(h.ValueAtQuantile(50)), ms(h.ValueAtQuantile(99)), ms(h.Max())
 	var credit, asked float64
+	for _, x := range r.Records {
+		if x.What == witness.Earned && g.crowd.InTime[x.Session] {
+			credit += r.Terms.Tariffs[x.Tariff].Credit * x.Seconds
+		}
+	}
 	for name, t := range r.Terms.Tariffs {
-		credit += t.Credit * float64(g.crowd.InGoal[name])
-		asked += t.Credit * float64(g.crowd.Asked[name])
-		r.Viewers += g.crowd.Asked[name]
+		asked += t.Credit * g.crowd.Asked[name]
 	}
+	r.Viewers = g.crowd.Viewers
 	if asked > 0 {
 		r.Credit = credit / asked
 	}
--- a/internal/day/rig.go
+++ b/internal/day/rig.go
@@ -64,7 +64,12 @@
 	Director(house []byte, name, boot string, seed uint64) (Director, error)
 }
 
-// house fills in the directors' file.
+// What a second earns at each rung, and loses where its rate is short; the directors' file has the first too.
+var worth = []float64{0.23, 0.52, 0.76, 1}
+
+const stallCost = 7
+
+// houseFacts fill in the directors' file.
 type houseFacts struct {
 	Name          string
 	Me, Directors int
@@ -148,6 +153,7 @@
 	site := node.Site{
 		Uplinks: uplinks, Warmup: 5 * time.Second, ColdFrom: 0.4, Multiple: 4, TipAfter: time.Second,
 		Late: 600 * time.Millisecond, Every: 2 * time.Second, Refresh: 300 * time.Millisecond,
+		Worth: worth, StallCost: stallCost,
 	}
 	fell := func(name string) { g.say("%s was pushed over and stays down", name) }
 	var err error
@@ -321,9 +327,12 @@
 	}
 	v.Title = g.titles[title].Title
 	v.Length = time.Duration(float64(g.script.Mean) * (0.4 + 1.2*r.Float64()))
+	best := t.Top
 	if r.Float64() < 0.2 {
 		v.Top = new(r.IntN(2) + 1)
+		best = min(best, *v.Top)
 	}
+	v.Best = worth[best]
 	return v, r
 }
 
--- a/internal/standin/node/farm.go
+++ b/internal/standin/node/farm.go
@@ -30,9 +30,11 @@
 	ColdFrom    float64       `json:"cold_from"`
 	Multiple    float64       `json:"multiple"`
 	TipAfter    time.Duration `json:"tip_after"`
-	Late        time.Duration `json:"late"`    // of notes
-	Every       time.Duration `json:"every"`   // between notes of links
-	Refresh     time.Duration `json:"refresh"` // of the load in answers
+	Late        time.Duration `json:"late"`                 // of notes
+	Every       time.Duration `json:"every"`                // between notes of links
+	Refresh     time.Duration `json:"refresh"`              // of the load in answers
+	Worth       []float64     `json:"worth,omitempty"`      // of a second at each rung; empty: nothing is earned
+	StallCost   float64       `json:"stall_cost,omitempty"` // points of worth lost for each point of the rate missing under 98 in 100
 }
 
 // Fault is something done to a node, or to all nodes' links and a rack's uplink. What it does not name
@@ -53,13 +55,22 @@
 }
 
 // An Out is a message to a director, or, with Cut, the reset of its connection, or, with Fell, word that the
-// node was pushed over.
+// node was pushed over, or, with Earned, what a session has earned.
 type Out struct {
 	Node    string
 	Link    uint64
 	Message wire.Node
 	Cut     bool
 	Fell    bool
+	Earned  *Earning
+}
+
+// Earning is what a session has earned by its end: seconds, each times its rung's worth and what is left of
+// that where the rate was short.
+type Earning struct {
+	Session string
+	Tariff  string
+	Seconds float64
 }
 
 type stream struct {
@@ -71,6 +82,9 @@
 	ends    time.Duration // of a session, once it plays; 0: when called off
 	length  time.Duration
 	expires time.Duration // a set-up is not started later than this
+	session string
+	tariff  string
+	earned  float64
 }
 
 type director struct {
@@ -92,6 +106,7 @@
 	twice         float64
 	shrink        float64
 	streams       map[[2]uint64]*stream // by link and leg
+	asked         float64               // of the link, by all streams
 	directors     []*director
 	free          []time.Duration // when each core is next free
 	sends         []time.Duration // set-ups within the tipping time
@@ -107,8 +122,12 @@
 	dueEnd
 	dueNote
 	dueTell
+	dueEarn
 )
 
+// earnEvery is how often it is looked at what sessions get.
+const earnEvery = 100 * time.Millisecond
+
 type due struct {
 	at   time.Duration
 	seq  uint64
@@ -135,13 +154,14 @@
 type rack struct {
 	uplink float64
 	shrink float64
+	asked  float64
 }
 
 // NewFarm starts with warm nodes that run.
 func NewFarm(seed uint64, site Site, machines []Machine) *Farm {
 	f := &Farm{site: site, chance: rand.New(rand.NewPCG(seed, 1)), nodes: map[string]*machine{}}
 	for _, u := range site.Uplinks {
-		f.racks = append(f.racks, rack{u, 1})
+		f.racks = append(f.racks, rack{uplink: u, shrink: 1})
 	}
 	for _, m := range machines {
 		n := &machine{Machine: m, alive: true, born: -1, slow: 1, shrink: 1, streams: map[[2]uint64]*stream{},
@@ -150,6 +170,9 @@
 		n.start = f.starts
 		f.nodes[m.Name] = n
 		f.order = append(f.order, n)
+		if len(site.Worth) > 0 {
+			f.push(due{at: earnEvery, kind: dueEarn, node: n})
+		}
 	}
 	return f
 }
@@ -225,6 +248,11 @@
 
 func (f *Farm) happen(d due) {
 	n := d.node
+	if d.kind == dueEarn {
+		f.earn(n)
+		f.push(due{at: d.at + earnEvery, kind: dueEarn, node: n})
+		return
+	}
 	if n.hung {
 		n.held = append(n.held, d)
 		return
@@ -236,7 +264,7 @@
 		f.ready(n, d.key)
 	case dueEnd:
 		if s := n.streams[d.key]; s != nil && s.plays && s.ends <= f.now {
-			delete(n.streams, d.key)
+			f.drop(n, d.key)
 			f.tell(n, s.link, wire.Node{Type: wire.Ended, Leg: s.leg, Why: "done", Load: f.loadOf(n)})
 		}
 	case dueNote:
@@ -262,7 +290,7 @@
 	n.directors = slices.DeleteFunc(n.directors, func(d *director) bool { return d.link == link })
 	for k := range n.streams {
 		if k[0] == link {
-			delete(n.streams, k)
+			f.drop(n, k)
 		}
 	}
 	return f.out
@@ -288,13 +316,14 @@
 		f.setup(n, key, m)
 	case wire.Rung:
 		if s := n.streams[key]; s != nil {
+			f.ask(n, m.Rate-s.rate)
 			s.rung, s.rate = m.Rung, m.Rate
 			if s.plays {
 				f.tell(n, link, wire.Node{Type: wire.Note, Leg: s.leg, Kind: 2, Value: float64(s.rung)})
 			}
 		}
 	case wire.End:
-		delete(n.streams, key)
+		f.drop(n, key)
 	}
 	return f.out
 }
@@ -325,11 +354,13 @@
 		f.answer(n, key, wire.Node{Type: wire.Full, Leg: key[1], Load: f.loadOf(n)})
 		return
 	}
-	s := &stream{link: key[0], leg: key[1], rate: m.Rate, rung: m.Rung, length: time.Duration(m.Length) * time.Millisecond}
+	s := &stream{session: m.Session, tariff: m.Tariff, link: key[0], leg: key[1], rate: m.Rate, rung: m.Rung, length: time.Duration(m.Length) * time.Millisecond}
 	if m.Within > 0 {
 		s.expires = f.now + time.Duration(m.Within)*time.Millisecond
 	}
+	f.drop(n, key)
 	n.streams[key] = s
+	f.ask(n, s.rate)
 	core := 0
 	for i, free := range n.free {
 		if free < n.free[core] {
@@ -348,7 +379,7 @@
 		return // called off meanwhile
 	}
 	if s.expires > 0 && f.now > s.expires {
-		delete(n.streams, key)
+		f.drop(n, key)
 		f.answer(n, key, wire.Node{Type: wire.Failed, Leg: s.leg, Load: f.loadOf(n)})
 		return
 	}
@@ -386,21 +417,44 @@
 	f.out = append(f.out, out)
 }
 
+// ask counts what a stream asks, or no longer asks, of the link and the uplink.
+func (f *Farm) ask(n *machine, rate float64) {
+	n.asked += rate
+	f.racks[n.Rack].asked += rate
+}
+
+// drop ends a stream.
+func (f *Farm) drop(n *machine, key [2]uint64) {
+	if s := n.streams[key]; s != nil {
+		f.ask(n, -s.rate)
+		delete(n.streams, key)
+		f.pay(n, s)
+	}
+}
+
+func (f *Farm) pay(n *machine, s *stream) {
+	if s.earned > 0 {
+		f.out = append(f.out, Out{Node: n.Name, Earned: &Earning{s.session, s.tariff, s.earned}})
+	}
+}
+
+// earn counts what a node's sessions got since the last look.
+func (f *Farm) earn(n *machine) {
+	if !n.alive || n.silent || n.hung {
+		return
+	}
+	quality := max(0, 1-f.site.StallCost*max(0, 0.98-f.share(n)))
+	for _, s := range n.streams {
+		if s.plays {
+			s.earned += earnEvery.Seconds() * quality * f.site.Worth[min(s.rung, len(f.site.Worth)-1)]
+		}
+	}
+}
+
 // asked is what is asked of a node's link and of its rack's uplink, over what they give.
 func (f *Farm) asked(n *machine) (link, uplink float64) {
 	r := &f.racks[n.Rack]
-	for _, o := range f.order {
-		if o.Rack != n.Rack || !o.alive {
-			continue
-		}
-		for _, s := range o.streams {
-			uplink += s.rate
-			if o == n {
-				link += s.rate
-			}
-		}
-	}
-	return link / (n.Link / n.shrink), uplink / (r.uplink / r.shrink)
+	return max(0, n.asked) / (n.Link / n.shrink), max(0, r.asked) / (r.uplink / r.shrink)
 }
 
 // share is the share of its rate that a session on a node gets: what is short on the link or the uplink
@@ -515,6 +569,10 @@
 		f.out = append(f.out, Out{Node: n.Name, Link: d.link, Cut: true})
 	}
 	n.alive, n.directors, n.held = false, nil, nil
+	f.ask(n, -n.asked)
+	for _, s := range n.streams {
+		f.pay(n, s)
+	}
 	clear(n.streams)
 	clear(n.free)
 }
--- a/internal/standin/node/host.go
+++ b/internal/standin/node/host.go
@@ -100,6 +100,10 @@
 			h.servers[o.Node].Refusing(true)
 			continue
 		}
+		if o.Earned != nil {
+			h.record.Add(witness.Record{What: witness.Earned, Node: o.Node, Session: o.Earned.Session, Tariff: o.Earned.Tariff, Seconds: o.Earned.Seconds})
+			continue
+		}
 		c := h.links[o.Link]
 		if c == nil {
 			continue
--- a/internal/standin/player/player.go
+++ b/internal/standin/player/player.go
@@ -35,6 +35,7 @@
 	Title  string
 	Key    string
 	Top    *int
+	Best   float64 // worth of the best rung that the viewer can use in its tariff
 	Wait   time.Duration
 	Goal   time.Duration
 	Length time.Duration
@@ -49,11 +50,12 @@
 
 	conns   atomic.Uint64
 	mu      sync.Mutex
-	Tries   int             // requests
-	Agains  int             // of these, not the viewer's first
-	Latency []time.Duration // from request to "plays"
-	InGoal  map[string]int  // viewers per tariff who played within the goal time of their first try
-	Asked   map[string]int  // viewers per tariff
+	Tries   int                // requests
+	Agains  int                // of these, not the viewer's first
+	Latency []time.Duration    // from request to "plays"
+	InTime  map[string]bool    // sessions that played within the goal time since their viewer first asked, or was interrupted
+	Asked   map[string]float64 // seconds asked for, by tariff, at the worth of the best rung that the viewer can use
+	Viewers int
 }
 
 var bounds = transport.Bounds{Message: wire.SessionMost, Queue: 64 << 10, Write: time.Second, Handshake: time.Second}
@@ -106,10 +108,11 @@
 // Watch is one viewer's whole evening: it ends when the viewer has watched to the end or has given up.
 func (c *Crowd) Watch(ctx context.Context, v Viewer, r *rand.Rand) {
 	c.mu.Lock()
-	if c.InGoal == nil {
-		c.InGoal, c.Asked = map[string]int{}, map[string]int{}
+	if c.InTime == nil {
+		c.InTime, c.Asked = map[string]bool{}, map[string]float64{}
 	}
-	c.Asked[v.Tariff]++
+	c.Viewers++
+	c.Asked[v.Tariff] += v.Length.Seconds() * v.Best
 	c.mu.Unlock()
 	began := time.Now()
 	left := v.Length
@@ -117,6 +120,9 @@
 	for try := 0; ; try++ {
 		end := c.try(ctx, v, r, try, fmt.Sprintf("%s-%d", v.Key, key), left, began)
 		left -= end.played
+		if end.played > 0 {
+			began = time.Now()
+		}
 		backoff := end.backoff
 		if !end.same {
 			key++
@@ -207,7 +213,7 @@
 				c.mu.Lock()
 				c.Latency = append(c.Latency, time.Since(asked))
 				if time.Since(began) <= v.Goal {
-					c.InGoal[v.Tariff]++
+					c.InTime[m.Session] = true
 				}
 				c.mu.Unlock()
 				return c.play(ctx, s, r, left)
--- a/internal/witness/record.go
+++ b/internal/witness/record.go
@@ -35,6 +35,7 @@
 	Killed   = "killed"   // day: a director was killed; it owes nothing any more
 	GaveUp   = "gave up"  // player: the time to wait is up
 	Returned = "returned" // day: a director has started again
+	Earned   = "earned"   // node: what a session has earned by its end (Seconds)
 )
 
 // Who may end a connection.
@@ -64,6 +65,7 @@
 	By       string        `json:"by,omitempty"`
 	Places   float64       `json:"places,omitempty"` // started
 	Why      string        `json:"why,omitempty"`
+	Seconds  float64       `json:"seconds,omitempty"` // earned
 }
 
 // A Recorder takes records from many goroutines.
@@ -72,8 +74,14 @@
 	records []Record
 }
 
+// Nobody is a recorder that keeps nothing, for loads that nobody judges.
+var Nobody = (*Recorder)(nil)
+
 // Add keeps a record; its time is now unless it has one.
 func (r *Recorder) Add(x Record) {
+	if r == nil {
+		return
+	}
 	r.mu.Lock()
 	if x.At == 0 {
 		x.At = Clock()
