--- a/cmd/fordusher/day.go
+++ b/cmd/fordusher/day.go
@@ -16,16 +16,17 @@
 )
 
 type dayCommand struct {
-	Script    string `help:"The day's script; without it the bad day that ships with the program." type:"path"`
-	Requests  int    `help:"Viewers who come, over what the script says."`
-	Directors int    `help:"Directors, over what the script says."`
-	Nodes     int    `help:"Nodes, over what the script says."`
-	Seed      uint64 `help:"What chance is drawn from." default:"1"`
-	JSON      bool   `help:"Print one object as the last line."`
-	Record    string `help:"Keep the witness record in this file; fordusher verify checks it again." type:"path"`
-	Processes bool   `help:"Run directors and nodes as processes of their own, so that they are killed outright."`
-	Baseline  string `help:"Put a baseline in the module's place: random-lowest or least-middle." enum:"random-lowest,least-middle,none" default:"none"`
-	Logs      bool   `help:"Show the directors' log."`
+	Script    string        `help:"The day's script; without it the bad day that ships with the program." type:"path"`
+	Requests  int           `help:"Viewers who come, over what the script says."`
+	Directors int           `help:"Directors, over what the script says."`
+	Nodes     int           `help:"Nodes, over what the script says."`
+	Seed      uint64        `help:"What chance is drawn from." default:"1"`
+	JSON      bool          `help:"Print one object as the last line."`
+	Record    string        `help:"Keep the witness record in this file; fordusher verify checks it again." type:"path"`
+	Processes bool          `help:"Run directors and nodes as processes of their own, so that they are killed outright."`
+	Baseline  string        `help:"Put a baseline in the module's place: random-lowest or least-middle." enum:"random-lowest,least-middle,none" default:"none"`
+	Slack     time.Duration `help:"What the witness forgives of what is seen late or out of order." default:"100ms"`
+	Logs      bool          `help:"Show the directors' log."`
 }
 
 func (c *dayCommand) Run() error {
@@ -37,7 +38,6 @@
 		}
 	}
 	if c.Requests > 0 {
-		// The same crowd for longer, rather than a larger one, as far as an hour goes.
 		s.Requests = c.Requests
 	}
 	if c.Directors > 0 {
@@ -53,7 +53,7 @@
 	if c.Logs {
 		log = logger()
 	}
-	opt := day.Options{Seed: c.Seed, Log: log, Progress: func(line string) { fmt.Fprintln(os.Stderr, line) }}
+	opt := day.Options{Seed: c.Seed, Log: log, Slack: c.Slack, Progress: func(line string) { fmt.Fprintln(os.Stderr, line) }}
 	opt.Module = day.Baselines[c.Baseline]
 	if c.Processes && opt.Module != nil {
 		return errors.New("a baseline runs in the day's own process only: leave out --processes or --baseline")
--- /dev/null
+++ b/cmd/fordusher/main_test.go
@@ -0,0 +1,167 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"fordusher/internal/standin/list"
+	"fordusher/internal/transport"
+	"fordusher/internal/wire"
+	"fordusher/internal/witness"
+)
+
+// The test binary is the program too, for processes that the tests start.
+func TestMain(m *testing.M) {
+	if os.Getenv("FORDUSHER_MAIN") != "" {
+		main()
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+func command(t *testing.T, args ...string) *exec.Cmd {
+	t.Helper()
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(self, args...)
+	cmd.Env = append(os.Environ(), "FORDUSHER_MAIN=1")
+	return cmd
+}
+
+// program runs the program to its end.
+func program(t *testing.T, args ...string) (code int, out, errs string) {
+	t.Helper()
+	cmd := command(t, args...)
+	var o, e bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &o, &e
+	overdue := time.AfterFunc(2*time.Minute, func() { cmd.Process.Kill() })
+	defer overdue.Stop()
+	err := cmd.Run()
+	if _, ok := err.(*exec.ExitError); err != nil && !ok {
+		t.Fatal(err)
+	}
+	return cmd.ProcessState.ExitCode(), o.String(), e.String()
+}
+
+func file(t *testing.T, name, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+const house = `{"director": {"name": "d", "me": 0, "directors": 1}, "listen": "127.0.0.1:0", "metrics": "127.0.0.1:0",
+  "list": {"address": "127.0.0.1:1"}, "tariffs": {"clip": {"goal_time": "1s", "hard_stop": "2s"}}, "ladder": {"rates": ["100kB/s"]},
+  "fleet": {"cells": 1, "racks": 1, "link_unit": "1000kB/s", "uplink": "1000kB/s", "machines": {"box": 5}},
+  "ramp": {"warmup": "1s", "cold_from": 0.5, "multiple": 4, "tip_after": "1s"}, "closing": {"within": "500ms"}}`
+
+func TestBadInputIsNamedAndExitsWith2(t *testing.T) {
+	bad := file(t, "d.jsonc", strings.Replace(house, `"racks"`, `"raks"`, 1))
+	for _, c := range []struct {
+		args []string
+		want string
+	}{
+		{[]string{"check", bad}, bad + ":3:25: unknown key \"raks\"; did you mean \"racks\"?"},
+		{[]string{"serve", "--conf", bad}, bad + ":3:25: unknown key"},
+		{[]string{"check", filepath.Join(t.TempDir(), "none")}, "no such file"},
+		{[]string{"day", "--script", file(t, "s", `{"troubles": [{"kind": "flood", "at": "1s"}]}`)}, `unknown trouble "flood"`},
+		{[]string{"dya"}, "unexpected argument dya"},
+		{[]string{"day", "--requests", "x"}, "--requests"},
+	} {
+		code, _, errs := program(t, c.args...)
+		if code != exitInput || !strings.Contains(errs, c.want) || strings.Contains(errs, "goroutine") {
+			t.Errorf("%v: exit %d, %s", c.args, code, errs)
+		}
+	}
+	if code, out, _ := program(t, "check", file(t, "d.jsonc", house)); code != 0 || !strings.Contains(out, "director d, 0 of 1") {
+		t.Error(code, out)
+	}
+}
+
+// SIGTERM: a session that plays is told, and the process exits 0 within its term.
+func TestServeEndsInGoodOrder(t *testing.T) {
+	source, err := list.Open(witness.Nobody, nil, []wire.Title{{Title: "t", Copies: 1}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer source.Close()
+	cmd := command(t, "serve", "--conf", file(t, "d.jsonc", strings.Replace(house, "127.0.0.1:1", source.Address(), 1)))
+	pipe, err := cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer cmd.Process.Kill()
+	line, err := bufio.NewReader(pipe).ReadBytes('\n')
+	var told ready
+	if err != nil || json.Unmarshal(line, &told) != nil || told.Metrics == "" {
+		t.Fatal(string(line), err)
+	}
+	p := &printer{in: make(chan wire.Session, 10), closed: make(chan error, 1)}
+	conn, err := transport.Dial(told.Listen, wire.SessionProtocol, 5*time.Second, transport.Bounds{Message: 4096, Queue: 4096, Write: time.Second}, p, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn.Send(wire.Encode(wire.Session{Type: wire.Want, ID: "1", Tariff: "clip", Title: "t", Key: "k", Wait: 1500}), 0)
+	time.Sleep(50 * time.Millisecond) // held: there is no node
+	cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case m := <-p.in: // owed, so it is answered before the end
+		if m.Type != wire.Nack && m.Type != wire.Errored {
+			t.Fatal(m)
+		}
+	case <-time.After(10 * time.Second):
+		t.Fatal("no answer")
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Directors and nodes as processes, directors killed outright; the record is kept and judged again.
+func TestDayOfProcesses(t *testing.T) {
+	script := file(t, "s.jsonc", `{"length": "4s", "requests": 250, "directors": 2, "nodes": 8, "racks": 2, "titles": 8,
+		"viewers": {"mean_length": "1s"}, "list": {"notice_low": "100ms", "notice_high": "300ms"},
+		"troubles": [{"kind": "balancer_roll", "at": "1s", "for": "2s", "share": 0.5, "size": 0.3},
+			{"kind": "crash", "at": "1500ms", "for": "1s", "share": 0.15}, {"kind": "deploy", "at": "500ms", "for": "2s", "share": 0.3, "size": 0.3}]}`)
+	record := filepath.Join(t.TempDir(), "day.zst")
+	code, out, errs := program(t, "day", "--processes", "--script", script, "--json", "--record", record, "--slack", "400ms")
+	if code != 0 {
+		t.Fatal(code, out, errs)
+	}
+	lines := strings.Split(strings.TrimSpace(out), "\n")
+	var r struct {
+		Taken, Played, Nacked, Errored, Gone, Unanswered int
+		Rules                                            map[string]struct{ Checked, Broken int }
+	}
+	if err := json.Unmarshal([]byte(lines[len(lines)-1]), &r); err != nil {
+		t.Fatal(err)
+	}
+	if r.Taken != r.Played+r.Nacked+r.Errored+r.Gone || r.Unanswered != 0 || r.Played < 50 || r.Rules[witness.RuleDrain].Checked < 50 {
+		t.Fatal(lines[len(lines)-1])
+	}
+	if code, out, _ := program(t, "verify", record); code != 0 || !strings.Contains(out, "all rules kept") {
+		t.Fatal(code, out)
+	}
+	raw, err := os.ReadFile(record)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if code, _, errs := program(t, "verify", file(t, "cut.zst", string(raw[:len(raw)/2]))); code != exitBroken || !strings.Contains(errs, "cut.zst") {
+		t.Fatal(code, errs)
+	}
+}
--- /dev/null
+++ b/limits/limits.go
@@ -0,0 +1,450 @@
+// Package limits decides who may connect to a director, who is asked for a sign of life and when, who is
+// closed and in what order when room gets short, and when newcomers are let in again. It does no I/O and
+// has no clock: Step takes what happened and when, and returns what is to be done.
+//
+// Room is used up in steps, with hysteresis between them:
+//
+//	normal   all are let in
+//	saving   all are let in; who has been idle for longer than Patience is let go, in slices that double
+//	full     newcomers are turned away with a time to come back; the longest idle are let go, in slices
+//	         that double; once there is room, newcomers are let in by a trickle that doubles
+//
+// Never closed: a connection whose player has a session, a leg out or an answer owed (busy). Where all are
+// busy nobody is closed and newcomers wait outside.
+package limits
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"fordusher/internal/wheel"
+)
+
+// Room is what a director may use for its players' connections, and how it treats the idle ones.
+type Room struct {
+	Connections int           // at most, handshakes included
+	PerAddress  int           // of one address; 0: as many as there are
+	Handshakes  int           // under way at one time
+	Memory      int64         // bytes that the program may use; 0: not looked at
+	Ping        time.Duration // a connection is asked for a sign of life so often
+	Patience    time.Duration // idle for longer than this, it is let go first when room gets short
+	Handshake   time.Duration // longest handshake
+	Retry       time.Duration // longest time that a newcomer is told to stay away
+}
+
+// The shares of the room at which its steps begin, and, lower, end.
+const (
+	savingFrom, savingTo = 0.80, 0.70
+	fullFrom, fullTo     = 0.95, 0.90
+)
+
+// sliceEvery is the time between slices of connections let go; firstSlice is the first one, and the
+// trickle's.
+const (
+	sliceEvery = 100 * time.Millisecond
+	firstSlice = 4
+)
+
+// missed is how many signs of life a connection may owe before it is given up.
+const missed = 3
+
+// Mode is a step of the room's use.
+type Mode int
+
+// The modes.
+const (
+	Normal Mode = iota
+	Saving
+	Full
+)
+
+func (m Mode) String() string { return [...]string{"normal", "saving", "full"}[m] }
+
+// What happened to a connection, which the caller names by a small index that is free again after Left.
+type What int
+
+// The events.
+const (
+	Knock    What = iota // somebody wants to connect; answered by Plan.Admit
+	Shook                // the handshake is done
+	Heard                // something came from the peer
+	Busy                 // the player has a session, or an answer owed
+	Idle                 // it has none any more
+	Left                 // the connection has ended
+	Measure              // Memory is what the program uses now
+	Draining             // the director closes: nobody is let in any more
+	Ring                 // the time that was asked for has come
+)
+
+// Event is what happened.
+type Event struct {
+	What    What
+	Conn    int
+	Address netip.Addr
+	Memory  int64
+}
+
+// Let is a connection to let go.
+type Let struct {
+	Conn  int
+	Code  int           // of RFC 6455
+	Why   string        // for the peer
+	Retry time.Duration // when to come back; 0: at will
+}
+
+// Plan is what is to be done. It is valid until the next Step.
+type Plan struct {
+	Admit bool          // answer to Knock
+	Retry time.Duration // where it is not admitted: when to come back
+	Why   string        // where it is not admitted
+	Ping  []int
+	Let   []Let
+	Log   string // one line for a change of mode
+	More  bool   // more is due now; call again with Ring once other work is done
+}
+
+// stage is where a connection stands.
+type stage uint8
+
+const (
+	gone stage = iota
+	shaking
+	idle
+	busy
+	leaving // told to go; it counts until it has left
+)
+
+type conn struct {
+	timer      wheel.Timer
+	next, prev int32 // among the idle, the longest idle first
+	address    int32
+	stage      stage
+	heard      time.Duration
+	since      time.Duration // idle since
+}
+
+type address struct {
+	addr  netip.Addr
+	conns int32
+}
+
+// Limits is the state of one director's connections.
+type Limits struct {
+	room      Room
+	chance    *rand.Rand
+	conns     []conn // by the caller's index
+	first     int32  // the longest idle
+	last      int32
+	used      int // all but gone
+	shaking   int
+	busy      int
+	leaving   int
+	addresses []address // a place is used again once nobody of it is connected
+	byAddr    map[netip.Addr]int32
+	freeAddr  []int32
+	wheel     *wheel.Wheel
+	now       time.Duration
+	memory    int64
+	mode      Mode
+	draining  bool
+	slice     int           // connections to let go in the next slice
+	trickle   int           // newcomers to let in until the next slice; under 0: all
+	admitted  int           // of these
+	turned    int           // newcomers turned away since the mode began
+	due       time.Duration // of the next slice; 0: none
+	plan      Plan
+}
+
+const (
+	none = int32(-1)
+	// expireSteps bounds one call's work on timers: about a millisecond.
+	expireSteps = 4000
+)
+
+// New starts with nobody connected.
+func New(seed uint64, room Room) *Limits {
+	return &Limits{room: room, chance: rand.New(rand.NewPCG(seed, 6)), first: none, last: none,
+		byAddr: map[netip.Addr]int32{}, wheel: wheel.New(0, time.Millisecond), slice: firstSlice, trickle: -1}
+}
+
+// Use tells how many connections there are, how many of them are busy, and the mode.
+func (l *Limits) Use() (used, busy int, mode Mode) { return l.used, l.busy, l.mode }
+
+// Next is when Step wants a Ring at the latest; ok is false where nothing is due.
+func (l *Limits) Next() (at time.Duration, ok bool) {
+	at, ok = l.wheel.Next()
+	if l.due > 0 && (!ok || l.due < at) {
+		return l.due, true
+	}
+	return at, ok
+}
+
+// Step takes what happened at a time and returns what is to be done.
+func (l *Limits) Step(now time.Duration, e Event) *Plan {
+	stalled := l.used > 0 && now-l.now > l.room.Ping && e.What == Ring
+	l.now = max(l.now, now)
+	l.plan = Plan{Ping: l.plan.Ping[:0], Let: l.plan.Let[:0]}
+	switch e.What {
+	case Knock:
+		l.knock(e)
+	case Measure:
+		l.memory = e.Memory
+	case Draining:
+		l.draining = true
+	case Ring:
+		if stalled {
+			l.forgive()
+		}
+		l.plan.More = l.wheel.Expire(l.now, expireSteps, l.expired)
+	default:
+		if e.Conn < len(l.conns) && l.conns[e.Conn].stage != gone {
+			l.change(e)
+		}
+	}
+	l.setMode()
+	if l.due > 0 && l.now >= l.due {
+		l.letGo()
+	}
+	return &l.plan
+}
+
+func (l *Limits) knock(e Event) {
+	why := ""
+	a, known := l.byAddr[e.Address]
+	switch {
+	case l.draining:
+		why = "director closes"
+	case l.used >= l.room.Connections || l.mode == Full:
+		why = "no room"
+	case l.shaking >= l.room.Handshakes:
+		why = "too many handshakes"
+	case l.room.PerAddress > 0 && known && int(l.addresses[a].conns) >= l.room.PerAddress:
+		why = "too many connections from this address"
+	case l.trickle >= 0 && l.admitted >= l.trickle:
+		why = "no room yet"
+	}
+	if why != "" {
+		l.turned++
+		l.plan.Why, l.plan.Retry = why, l.retry()
+		return
+	}
+	l.plan.Admit = true
+	l.admitted++
+	if !known {
+		if n := len(l.freeAddr); n > 0 {
+			a, l.freeAddr = l.freeAddr[n-1], l.freeAddr[:n-1]
+		} else {
+			a = int32(len(l.addresses))
+			l.addresses = append(l.addresses, address{})
+		}
+		l.addresses[a] = address{addr: e.Address}
+		l.byAddr[e.Address] = a
+	}
+	l.addresses[a].conns++
+	for e.Conn >= len(l.conns) {
+		l.conns = append(l.conns, conn{})
+	}
+	l.conns[e.Conn] = conn{stage: shaking, address: a, heard: l.now, next: none, prev: none,
+		timer: l.wheel.Add(l.now+l.room.Handshake, uint64(e.Conn))}
+	l.used++
+	l.shaking++
+}
+
+// retry spreads those who are turned away over the time that letting them in would take: a second at
+// least, more the more there are, drawn between one and two times that.
+func (l *Limits) retry() time.Duration {
+	pace := max(firstSlice, l.slice)
+	wait := max(time.Second, time.Duration(l.turned/pace)*sliceEvery)
+	wait = min(wait, l.room.Retry/2)
+	return wait + time.Duration(l.chance.Int64N(int64(wait)+1))
+}
+
+func (l *Limits) change(e Event) {
+	i := int32(e.Conn)
+	c := &l.conns[i]
+	switch e.What {
+	case Shook:
+		if c.stage == shaking {
+			l.shaking--
+			c.heard = l.now
+			l.rest(i)
+			// The first sign of life is asked for at some moment of the span, so that those who came
+			// together are not asked together.
+			l.wheel.Move(c.timer, l.now+time.Duration(l.chance.Int64N(int64(l.room.Ping)))+1)
+		}
+	case Heard:
+		c.heard = l.now
+	case Busy:
+		if c.stage == idle {
+			l.unlink(i)
+			c.stage = busy
+			l.busy++
+		}
+	case Idle:
+		if c.stage == busy {
+			l.busy--
+			l.rest(i)
+		}
+	case Left:
+		switch c.stage {
+		case shaking:
+			l.shaking--
+		case idle:
+			l.unlink(i)
+		case busy:
+			l.busy--
+		case leaving:
+			l.leaving--
+		}
+		l.wheel.Cancel(c.timer)
+		a := &l.addresses[c.address]
+		if a.conns--; a.conns == 0 {
+			delete(l.byAddr, a.addr)
+			l.freeAddr = append(l.freeAddr, c.address)
+		}
+		*c = conn{}
+		l.used--
+	}
+}
+
+// rest puts a connection at the end of the idle.
+func (l *Limits) rest(i int32) {
+	c := &l.conns[i]
+	c.stage, c.since = idle, l.now
+	c.prev, c.next = l.last, none
+	if l.last != none {
+		l.conns[l.last].next = i
+	} else {
+		l.first = i
+	}
+	l.last = i
+}
+
+func (l *Limits) unlink(i int32) {
+	c := &l.conns[i]
+	if c.prev != none {
+		l.conns[c.prev].next = c.next
+	} else {
+		l.first = c.next
+	}
+	if c.next != none {
+		l.conns[c.next].prev = c.prev
+	} else {
+		l.last = c.prev
+	}
+	c.next, c.prev = none, none
+}
+
+// let tells a connection that is not busy to go.
+func (l *Limits) let(i int32, code int, why string, retry time.Duration) {
+	c := &l.conns[i]
+	switch c.stage {
+	case idle:
+		l.unlink(i)
+	case shaking:
+		l.shaking--
+	case busy: // its peer is dead: the only reason for which one is given up
+		l.busy--
+	}
+	c.stage = leaving
+	l.leaving++
+	l.plan.Let = append(l.plan.Let, Let{int(i), code, why, retry})
+}
+
+// expired is a connection's timer: its handshake took too long, or it is time for a sign of life.
+func (l *Limits) expired(id uint64) {
+	i := int32(id)
+	c := &l.conns[i]
+	c.timer = 0
+	switch {
+	case c.stage == shaking:
+		l.let(i, 0, "handshake took too long", 0)
+	case c.stage == leaving || c.stage == gone:
+	case l.now-c.heard > missed*l.room.Ping:
+		l.let(i, 1008, "no sign of life", 0)
+	default:
+		if l.now-c.heard >= l.room.Ping/2 { // who spoke just now need not be asked
+			l.plan.Ping = append(l.plan.Ping, int(i))
+		}
+		c.timer = l.wheel.Add(l.now+l.room.Ping, id)
+	}
+}
+
+// forgive is for a stall of the process: what nobody could have heard is held against nobody.
+func (l *Limits) forgive() {
+	for i := range l.conns {
+		if c := &l.conns[i]; c.stage != gone {
+			c.heard = l.now
+		}
+	}
+}
+
+// share is the part of the room that is used.
+func (l *Limits) share() float64 {
+	share := float64(l.used-l.leaving) / float64(max(1, l.room.Connections))
+	if l.room.Memory > 0 {
+		share = max(share, float64(l.memory)/float64(l.room.Memory))
+	}
+	return share
+}
+
+func (l *Limits) setMode() {
+	share, to := l.share(), l.mode
+	switch {
+	case share >= fullFrom:
+		to = Full
+	case l.mode == Full && share > fullTo:
+	case share >= savingFrom:
+		to = Saving
+	case l.mode != Normal && share > savingTo:
+		to = Saving
+	default:
+		to = Normal
+	}
+	if to == l.mode {
+		return
+	}
+	l.plan.Log = fmt.Sprintf("connections: %v, was %v: %d of %d used, %d busy, %d handshakes, %d MiB, %d turned away", to, l.mode, l.used,
+		l.room.Connections, l.busy, l.shaking, l.memory>>20, l.turned)
+	switch {
+	case to == Full:
+		l.trickle = -1
+	case l.mode == Full:
+		l.trickle, l.admitted = firstSlice, 0
+	}
+	l.mode, l.slice, l.turned = to, firstSlice, 0
+	if l.due == 0 && (to != Normal || l.trickle >= 0) {
+		l.due = l.now + sliceEvery
+	}
+}
+
+// letGo lets a slice of the idle go, the longest idle first: in saving those over their patience, in full
+// as many as it takes to leave it. The next slice is twice as large while there are more.
+func (l *Limits) letGo() {
+	l.due = 0
+	if l.trickle >= 0 { // it went well so far: twice as many newcomers
+		l.trickle, l.admitted = l.trickle*2, 0
+		if l.trickle > l.room.Connections {
+			l.trickle = -1
+		}
+	}
+	let := 0
+	for l.mode != Normal && let < l.slice && l.first != none {
+		c := &l.conns[l.first]
+		if l.mode == Saving && l.now-c.since < l.room.Patience || l.mode == Full && l.share() <= fullTo {
+			break
+		}
+		l.let(l.first, 1013, "no room for the idle", l.retry())
+		let++
+	}
+	if let == l.slice {
+		l.slice *= 2
+	} else {
+		l.slice = firstSlice
+	}
+	if l.mode != Normal || l.trickle >= 0 {
+		l.due = l.now + sliceEvery
+	}
+}
--- /dev/null
+++ b/limits/limits_test.go
@@ -0,0 +1,325 @@
+package limits
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const ms = time.Millisecond
+
+var room = Room{Connections: 100, PerAddress: 30, Handshakes: 10, Ping: 10 * time.Second, Patience: 5 * time.Second,
+	Handshake: time.Second, Retry: 30 * time.Second}
+
+func addr(i int) netip.Addr { return netip.AddrFrom4([4]byte{127, 0, byte(i >> 8), byte(i)}) }
+
+// A door is the caller's side, with plain books of its own.
+type door struct {
+	*rapid.T
+	l     *Limits
+	now   time.Duration
+	conns map[int]*seen
+	free  []int
+}
+
+type seen struct {
+	addr    int
+	stage   stage
+	idle    time.Duration
+	heard   time.Duration
+	leaving bool
+}
+
+func (d *door) step(e Event) *Plan {
+	p := d.l.Step(d.now, e)
+	counts := map[int]int{}
+	used, shaking := 0, 0
+	for _, c := range d.conns {
+		counts[c.addr]++
+		used++
+		if c.stage == 1 && !c.leaving {
+			shaking++
+		}
+	}
+	for _, x := range p.Let {
+		c := d.conns[x.Conn]
+		if c == nil || c.leaving {
+			d.Fatalf("%d is let go and is not there", x.Conn)
+		}
+		if c.stage == busy && d.now-c.heard <= missed*room.Ping {
+			d.Fatalf("%d is busy and let go", x.Conn)
+		}
+		if x.Code == 1013 {
+			if x.Retry <= 0 || x.Retry > room.Retry {
+				d.Fatal("no time to come back", x)
+			}
+			for i, o := range d.conns {
+				if i != x.Conn && o.stage == idle && !o.leaving && o.idle < c.idle {
+					d.Fatalf("%d is let go, idle since %v; %d has been since %v", x.Conn, c.idle, i, o.idle)
+				}
+			}
+		}
+		c.leaving = true
+	}
+	for a, n := range counts {
+		if n > room.PerAddress {
+			d.Fatal(n, "connections from", a)
+		}
+	}
+	if used > room.Connections || shaking > room.Handshakes {
+		d.Fatal(used, shaking)
+	}
+	return p
+}
+
+func (d *door) pass(to time.Duration) {
+	for at, ok := d.l.Next(); ok && at <= to; at, ok = d.l.Next() {
+		d.now = max(d.now, at)
+		for d.step(Event{What: Ring}).More {
+		}
+	}
+	d.now = to
+}
+
+func (d *door) pick() (int, *seen) {
+	var all []int
+	for i, c := range d.conns {
+		if !c.leaving {
+			all = append(all, i)
+		}
+	}
+	if len(all) == 0 {
+		return 0, nil
+	}
+	least := all[0]
+	for _, i := range all { // a map's order is not drawn from the seed
+		least = min(least, i)
+	}
+	n := rapid.IntRange(0, 200).Draw(d.T, "pick")
+	for i := least; ; i++ {
+		if c := d.conns[i%200]; c != nil && !c.leaving {
+			if n--; n < 0 {
+				return i % 200, c
+			}
+		}
+	}
+}
+
+// Whatever comes: no bound is exceeded, nobody who is owed something is closed, the longest idle go first,
+// and once the pressure is off everybody is let in again.
+func TestLimitsHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := &door{T: t, l: New(rapid.Uint64().Draw(t, "seed"), room), conns: map[int]*seen{}}
+		for i := range 200 {
+			d.free = append(d.free, i)
+		}
+		addresses := rapid.IntRange(1, 20).Draw(t, "addresses")
+		for range rapid.IntRange(10, 400).Draw(t, "steps") {
+			switch rapid.IntRange(0, 9).Draw(t, "what") {
+			case 0, 1, 2, 3:
+				if len(d.free) == 0 {
+					continue
+				}
+				i, a := d.free[0], rapid.IntRange(1, addresses).Draw(t, "address")
+				p := d.step(Event{What: Knock, Conn: i, Address: addr(a)})
+				if !p.Admit {
+					if p.Why == "" || p.Retry < time.Second || p.Retry > room.Retry {
+						t.Fatal("turned away without a word", p)
+					}
+					continue
+				}
+				d.free = d.free[1:]
+				d.conns[i] = &seen{addr: a, stage: shaking, heard: d.now}
+				if rapid.IntRange(0, 9).Draw(t, "slow") > 0 {
+					d.conns[i].stage, d.conns[i].idle = idle, d.now
+					d.step(Event{What: Shook, Conn: i})
+				}
+			case 4:
+				if i, c := d.pick(); c != nil && c.stage == idle {
+					c.stage = busy
+					d.step(Event{What: Busy, Conn: i})
+				}
+			case 5:
+				if i, c := d.pick(); c != nil && c.stage == busy {
+					c.stage, c.idle = idle, d.now
+					d.step(Event{What: Idle, Conn: i})
+				}
+			case 6:
+				if i, c := d.pick(); c != nil {
+					c.heard = d.now
+					d.step(Event{What: Heard, Conn: i})
+				}
+			case 7:
+				if i, c := d.pick(); c != nil {
+					delete(d.conns, i)
+					d.free = append(d.free, i)
+					d.step(Event{What: Left, Conn: i})
+				}
+			default:
+				d.pass(d.now + time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms"))*ms)
+			}
+			if rapid.Bool().Draw(t, "leave") { // who was told to go goes, sooner or later
+				for i := range 200 {
+					if c := d.conns[i]; c != nil && c.leaving {
+						delete(d.conns, i)
+						d.free = append(d.free, i)
+						d.step(Event{What: Left, Conn: i})
+						break
+					}
+				}
+			}
+		}
+		for i := range 200 {
+			if d.conns[i] != nil {
+				delete(d.conns, i)
+				d.step(Event{What: Left, Conn: i})
+			}
+		}
+		d.pass(d.now + 10*time.Second)
+		if used, busy, mode := d.l.Use(); used != 0 || busy != 0 || mode != Normal || d.l.wheel.Len() != 0 || len(d.l.byAddr) != 0 {
+			t.Fatal(used, busy, mode, d.l.wheel.Len())
+		}
+		if p := d.step(Event{What: Knock, Conn: 0, Address: addr(1)}); !p.Admit {
+			t.Fatal("nobody there, and still turned away: ", p.Why)
+		}
+	})
+}
+
+func fill(l *Limits, now time.Duration, from, to int) (admitted int) {
+	for i := from; i < to; i++ {
+		if l.Step(now, Event{What: Knock, Conn: i, Address: addr(i)}).Admit {
+			admitted++
+			l.Step(now, Event{What: Shook, Conn: i})
+		}
+	}
+	return admitted
+}
+
+// Full of players with sessions: nobody is closed, newcomers wait; once a part has gone they are let in by
+// a trickle that doubles, and one line is logged for each change of mode.
+func TestFullAndBackByATrickle(t *testing.T) {
+	l := New(1, room)
+	now := time.Duration(0)
+	var logs []string
+	step := func(e Event) *Plan {
+		p := l.Step(now, e)
+		if p.Log != "" {
+			logs = append(logs, p.Log)
+		}
+		return p
+	}
+	for i := range 95 {
+		if !step(Event{What: Knock, Conn: i, Address: addr(i)}).Admit {
+			t.Fatal(i)
+		}
+		step(Event{What: Shook, Conn: i})
+		step(Event{What: Busy, Conn: i})
+	}
+	if p := step(Event{What: Knock, Conn: 99, Address: addr(99)}); p.Admit || p.Why != "no room" {
+		t.Fatal(p)
+	}
+	for range 20 {
+		now += 100 * ms
+		if p := step(Event{What: Ring}); len(p.Let) > 0 {
+			t.Fatal("a busy player is let go", p.Let)
+		}
+	}
+	for i := range 60 {
+		step(Event{What: Left, Conn: i})
+	}
+	total := 0
+	for _, want := range []int{4, 8, 16, 32} {
+		got := 0
+		for i := range 60 {
+			if l.conns[i].stage == gone && got < want && step(Event{What: Knock, Conn: i, Address: addr(i)}).Admit {
+				got++
+				step(Event{What: Shook, Conn: i})
+			}
+		}
+		if total += got; got > want || got < min(want, 60-total+got) {
+			t.Fatal(got, want)
+		}
+		now += 100 * ms
+		step(Event{What: Ring})
+	}
+	if len(logs) < 3 {
+		t.Fatal(logs)
+	}
+}
+
+// A stall of the process: nobody could be heard, so nobody is given up for it.
+func TestStallGivesNobodyUp(t *testing.T) {
+	l := New(1, room)
+	fill(l, 0, 0, 50)
+	now := time.Hour
+	for more := true; more; {
+		p := l.Step(now, Event{What: Ring})
+		if len(p.Let) > 0 {
+			t.Fatal(len(p.Let), "given up after a stall")
+		}
+		more = p.More
+	}
+	// From then on silence counts again.
+	let := 0
+	for end := now + 5*room.Ping; ; {
+		at, ok := l.Next()
+		if !ok || at > end {
+			break
+		}
+		now = at
+		let += len(l.Step(now, Event{What: Ring}).Let)
+	}
+	if let != 50 {
+		t.Fatal(let)
+	}
+}
+
+func TestSigns(t *testing.T) {
+	l := New(1, room)
+	fill(l, 0, 0, 50)
+	l.Step(0, Event{What: Knock, Conn: 90, Address: addr(90)}) // never shakes hands
+	pings, first, let := 0, map[time.Duration]int{}, 0
+	for at, ok := l.Next(); ok && at < 19*time.Second; at, ok = l.Next() {
+		p := l.Step(at, Event{What: Ring})
+		for _, i := range p.Ping {
+			pings++
+			first[at/time.Second]++
+			l.Step(at, Event{What: Heard, Conn: i})
+		}
+		for _, x := range p.Let {
+			if let++; x.Conn != 90 || at < time.Second {
+				t.Fatal(x, at)
+			}
+		}
+	}
+	if let != 1 || pings < 50 || len(first) < 8 {
+		t.Fatal(let, pings, first)
+	}
+}
+
+func TestDrainingLetsNobodyIn(t *testing.T) {
+	l := New(1, room)
+	l.Step(0, Event{What: Draining})
+	if p := l.Step(0, Event{What: Knock, Address: addr(1)}); p.Admit || p.Why != "director closes" {
+		t.Fatal(p)
+	}
+}
+
+func TestMemoryCountsAsRoom(t *testing.T) {
+	r := room
+	r.Memory = 1000
+	l := New(1, r)
+	fill(l, 0, 0, 10)
+	if l.Step(0, Event{What: Measure, Memory: 960}); fill(l, 0, 10, 11) != 0 {
+		t.Fatal("let in without memory")
+	}
+	let := 0
+	for now := 100 * ms; now < 2*time.Second; now += 100 * ms {
+		let += len(l.Step(now, Event{What: Ring}).Let)
+	}
+	if let != 10 {
+		t.Fatal(let, "let go")
+	}
+}
