--- a/cmd/fordusher/serve.go
+++ b/cmd/fordusher/serve.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"runtime/pprof"
 	"strconv"
 	"syscall"
@@ -48,6 +49,9 @@
 	if c.Boot == "" {
 		c.Boot = strconv.FormatInt(time.Now().UnixMilli(), 36)
 	}
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(400) // a director's heap is small, and its time is not
+	}
 	d, err := daemon.Start(house, c.Boot, c.Seed, house.Module(c.Seed), logger())
 	if err != nil {
 		return err
--- a/internal/director/account.go
+++ b/internal/director/account.go
@@ -476,6 +476,13 @@
 	answer := l.plays(s)
 	l.settleAnswer(s, &answer)
 	l.tell(policy.Accepted{ID: s.id})
+	// A node that reports tells with the answer what is asked of its link and uplink now.
+	if load != nil && load.Link != nil {
+		l.tell(policy.Note{ID: s.id, Node: g.node.name, Kind: policy.LinkNote, Value: *load.Link})
+	}
+	if load != nil && load.Uplink != nil {
+		l.tell(policy.Note{ID: s.id, Node: g.node.name, Kind: policy.UplinkNote, Value: *load.Uplink})
+	}
 }
 
 // legEnds ends a leg, tells the module what is true of it, and the player if its session ends by it.
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -182,11 +182,7 @@
 			return measured
 		}
 		for now := witness.Clock(); now < due; now = witness.Clock() {
-			if wait := due - now; wait > 200*time.Microsecond {
-				time.Sleep(wait - 100*time.Microsecond)
-			} else {
-				time.Sleep(0)
-			}
+			time.Sleep(due - now) // what oversleeps counts as latency, with a director and without
 		}
 		if due >= from {
 			measured++
--- a/internal/standin/node/farm.go
+++ b/internal/standin/node/farm.go
@@ -389,9 +389,6 @@
 		f.push(due{at: s.ends, kind: dueEnd, node: n, key: key})
 	}
 	f.answer(n, key, wire.Node{Type: wire.Accepted, Leg: s.leg, Load: f.loadOf(n)})
-	link, uplink := f.asked(n)
-	f.tell(n, s.link, wire.Node{Type: wire.Note, Leg: s.leg, Kind: 3, Value: link})
-	f.tell(n, s.link, wire.Node{Type: wire.Note, Leg: s.leg, Kind: 4, Value: uplink})
 }
 
 // answer tells how a set-up ended, unless that gets lost.
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -25,6 +25,7 @@
 
 	"github.com/cloudwego/netpoll"
 	"github.com/gobwas/ws"
+	"golang.org/x/sys/unix"
 )
 
 // A Handler takes what happens on connections. For one connection its calls come one after another,
@@ -98,6 +99,7 @@
 	once    sync.Once
 	mu      sync.Mutex
 	shook   bool // the handshake is done
+	fd      int  // where frames are written at once while nothing waits; under 0: not there (any more)
 	queue   []frame
 	queued  int
 	writing bool
@@ -154,6 +156,20 @@
 		c.mu.Unlock()
 		return false
 	}
+	if !last && !c.writing && c.fd >= 0 {
+		n, err := unix.Write(c.fd, body)
+		switch {
+		case n == len(body):
+			c.mu.Unlock()
+			return true
+		case n > 0: // the rest can't be had back any more
+			body, tag = body[n:], 0
+		case err != unix.EAGAIN && err != unix.EINTR:
+			c.mu.Unlock()
+			c.fail(err)
+			return false
+		}
+	}
 	if c.queued+len(body) > c.bounds.Queue && !last {
 		c.mu.Unlock()
 		c.fail(fmt.Errorf("%w: %d bytes wait", ErrSlow, c.queued))
@@ -186,6 +202,21 @@
 	return false
 }
 
+// writeAtOnce lets frames be written without a goroutine while nothing waits. It is called once the close
+// callback is in place, which runs before the descriptor is closed: no other file can come to have it while
+// a write holds the lock.
+func (c *Conn) writeAtOnce() {
+	f, ok := c.np.(netpoll.Conn)
+	if !ok {
+		return
+	}
+	c.mu.Lock()
+	if c.why == nil && !c.last {
+		c.fd = f.Fd()
+	}
+	c.mu.Unlock()
+}
+
 // batchMost is how many bytes are handed to the kernel at once: what waits behind them can still be
 // withdrawn.
 const batchMost = 16 << 10
@@ -301,7 +332,7 @@
 			unsent = append(unsent, f.tag)
 		}
 	}
-	c.queue, c.queued, c.last = nil, 0, true
+	c.queue, c.queued, c.last, c.fd = nil, 0, true, -1 // the descriptor is closed after this
 	c.mu.Unlock()
 	c.handler.Closed(c, why, unsent)
 }
@@ -505,7 +536,7 @@
 	s.loop, err = netpoll.NewEventLoop(
 		func(ctx context.Context, np netpoll.Connection) error { return ctx.Value(key{}).(*Conn).read(ctx, np) },
 		netpoll.WithOnPrepare(func(np netpoll.Connection) context.Context {
-			c := &Conn{np: np, handler: handler, bounds: bounds, server: s}
+			c := &Conn{np: np, handler: handler, bounds: bounds, server: s, fd: -1}
 			if s.refusing.Load() {
 				c.server = nil
 				if f, ok := np.(netpoll.Conn); ok {
@@ -516,6 +547,7 @@
 			}
 			np.SetWriteTimeout(bounds.Write)
 			np.AddCloseCallback(c.closed)
+			c.writeAtOnce()
 			s.mu.Lock()
 			s.conns[c] = true
 			s.mu.Unlock()
@@ -600,7 +632,7 @@
 	}
 	np.SetReadTimeout(0)
 	np.SetWriteTimeout(bounds.Write)
-	c := &Conn{np: np, handler: handler, bounds: bounds, client: true, open: true, shook: true}
+	c := &Conn{np: np, handler: handler, bounds: bounds, client: true, open: true, shook: true, fd: -1}
 	c.heard.Store(time.Now().UnixNano())
 	if cookie != nil {
 		c.SetCookie(cookie)
@@ -616,6 +648,8 @@
 	np.SetOnRequest(c.read)
 	if !np.IsActive() { // it ended before the callback was there
 		c.closed(np)
+	} else {
+		c.writeAtOnce()
 	}
 	return c, nil
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -5,9 +5,10 @@
 package wire
 
 import (
-	"encoding/json"
 	"fmt"
 	"unicode/utf8"
+
+	"github.com/mailru/easyjson"
 )
 
 // The sub-protocols, each with its version. A handshake that offers none of a listener's is turned away.
@@ -148,10 +149,12 @@
 	Copies int    `json:"copies"` // 0: taken off
 }
 
+//go:generate go run github.com/mailru/easyjson/easyjson -all -output_filename codec_gen.go wire.go
+
 // Encode writes a message of any vocabulary. It can't fail on the types of this package as long as
 // their numbers are finite; a message with one that is not is a fault of the program.
-func Encode(message any) []byte {
-	out, err := json.Marshal(message)
+func Encode(message easyjson.Marshaler) []byte {
+	out, err := easyjson.Marshal(message)
 	if err != nil {
 		panic(fmt.Sprintf("wire: %v", err))
 	}
@@ -160,7 +163,7 @@
 
 // DecodeSession reads and checks a message of the session API, from either side.
 func DecodeSession(raw []byte) (m Session, err error) {
-	if err = json.Unmarshal(raw, &m); err != nil {
+	if err = easyjson.Unmarshal(raw, &m); err != nil {
 		return m, malformed(err)
 	}
 	if err = words(m.Type, m.ID, m.Tariff, m.Title, m.Key, m.Session, m.Node, m.Address, m.Ticket); err != nil {
@@ -197,7 +200,7 @@
 
 // DecodeNode reads and checks a message of the node vocabulary, from either side.
 func DecodeNode(raw []byte) (m Node, err error) {
-	if err = json.Unmarshal(raw, &m); err != nil {
+	if err = easyjson.Unmarshal(raw, &m); err != nil {
 		return m, malformed(err)
 	}
 	if err = words(m.Type, m.Director, m.Session, m.Tariff, m.Title, m.Why); err != nil {
@@ -231,7 +234,7 @@
 // DecodeList reads and checks a message of the list, from either side. Cells are counted modulo the
 // fleet's by whoever reads them.
 func DecodeList(raw []byte) (m List, err error) {
-	if err = json.Unmarshal(raw, &m); err != nil {
+	if err = easyjson.Unmarshal(raw, &m); err != nil {
 		return m, malformed(err)
 	}
 	switch m.Type {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"strings"
 	"testing"
+
+	"github.com/mailru/easyjson"
 )
 
 func TestBadMessagesSayWhatIsWrong(t *testing.T) {
@@ -52,7 +54,7 @@
 	f.Add([]byte(`{"t":"note","leg":1,"kind":3,"value":0.5}`))
 	f.Add([]byte(`{"t":"whole","nodes":[{"node":"a","state":"removed"}]}`))
 	f.Fuzz(func(t *testing.T, raw []byte) {
-		same := func(first any, err error, again func([]byte) (any, error)) {
+		same := func(first easyjson.Marshaler, err error, again func([]byte) (any, error)) {
 			if err != nil {
 				return
 			}
