Players' connections pass the limits; advice may be dropped, answers never

Need: idle connections are bounded, newcomers learn when to come back, and a slow reader costs no more than its bound.

--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -12,6 +12,7 @@
 	"fordusher/internal/director"
 	"fordusher/internal/transport"
 	"fordusher/internal/wire"
+	"fordusher/limits"
 	"fordusher/policy"
 	"fordusher/reach"
 )
@@ -34,6 +35,7 @@
 	Manners  director.Manners
 	Pace     reach.Pace
 	Term     closing.Term
+	Room     limits.Room
 	Door     Door
 }
 
@@ -56,7 +58,7 @@
 
 // Loop starts a director's loop around a module. Boot is a word that no other run has used.
 func (h *House) Loop(boot string, seed uint64, module director.Decider) *director.Loop {
-	return director.New(h.Name, boot, seed, module, h.Tariffs, h.Machines, h.Ladder, h.Manners, h.Pace, h.Term)
+	return director.New(h.Name, boot, seed, module, h.Tariffs, h.Machines, h.Ladder, h.Manners, h.Pace, h.Term, h.Room)
 }
 
 // Load reads a file; what is wrong with it comes back as Problems.
@@ -252,9 +254,9 @@
 		Linger:        o.Span("linger", 8*time.Second, 0, time.Hour, false),
 		Connect:       o.Span("connect", 250*time.Millisecond, time.Millisecond, time.Minute, false),
 		Ping:          o.Span("ping", time.Second, 10*time.Millisecond, time.Hour, false),
-		PingPlayers:   o.Span("ping_players", 10*time.Second, 10*time.Millisecond, time.Hour, false),
 		PerConnection: o.Whole("sessions_per_connection", 8, 1, 1000, false),
 	}
+	h.Room.Ping = o.Span("ping_players", 10*time.Second, 10*time.Millisecond, time.Hour, false)
 	for _, t := range h.Tariffs {
 		if t.HardStop > 0 && h.Manners.AnswerAhead*2 > t.HardStop {
 			r.Wrong(o.Where("answer_ahead"), "answer_ahead is %v, more than half of the hard_stop of %q, which is %v: no time to set up",
@@ -278,6 +280,17 @@
 	h.Door.Players = read(players, wire.SessionMost, 64<<10)
 	h.Door.Nodes = read(nodes, wire.NodeMost, 1<<20)
 	h.Door.List = transport.Bounds{Message: wire.ListMost, Queue: 64 << 10, Write: time.Second, Handshake: 5 * time.Second}
+	h.Room.Connections = o.Whole("connections", 15_000, 1, 10_000_000, false)
+	h.Room.PerAddress = o.Whole("per_address", 0, 0, 10_000_000, false)
+	h.Room.Handshakes = o.Whole("handshakes", 1024, 1, 10_000_000, false)
+	h.Room.Memory = int64(o.Bytes("memory", 0, 1<<20, 1<<40))
+	h.Room.Patience = o.Span("patience", 5*time.Minute, time.Second, 24*time.Hour, false)
+	h.Room.Retry = o.Span("retry", 30*time.Second, time.Second, time.Hour, false)
+	h.Room.Handshake = h.Door.Players.Handshake
+	h.Door.Players.Pending = h.Room.Handshakes
+	if h.Room.PerAddress > h.Room.Connections {
+		r.Wrong(o.Where("per_address"), "per_address is %d, more than connections, which is %d", h.Room.PerAddress, h.Room.Connections)
+	}
 	h.Door.Inbox = o.Whole("inbox", 512, 16, 1<<20, false)
 	if h.Door.Nodes.Write >= h.Grace {
 		r.Wrong(nodes.Where("write"), "a write to a node may stand still for %v, as long as the drain grace (%v) or longer: "+
--- a/internal/conf/reader.go
+++ b/internal/conf/reader.go
@@ -355,7 +355,7 @@
 	}
 	if l, isText := literal(v, '"'); isText {
 		text := l.String()
-		for unit, by := range map[string]int{"kB": 1 << 10, "MB": 1 << 20} {
+		for unit, by := range map[string]int{"kB": 1 << 10, "MB": 1 << 20, "GB": 1 << 30} {
 			n, found := strings.CutSuffix(text, unit)
 			if x, err := strconv.Atoi(strings.TrimSpace(n)); found && err == nil {
 				if x*by < least || x*by > most {
@@ -366,6 +366,6 @@
 			}
 		}
 	}
-	o.r.Wrong(v.StartOffset, "%q has to be a size with its unit in quotes (kB, MB), as in \"64kB\"", name)
+	o.r.Wrong(v.StartOffset, "%q has to be a size with its unit in quotes (kB, MB, GB), as in \"64kB\"", name)
 	return missing
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,6 +5,8 @@
 
 import (
 	"fmt"
+	"net/netip"
+	"runtime/metrics"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +19,7 @@
 	"fordusher/internal/director"
 	"fordusher/internal/transport"
 	"fordusher/internal/wire"
+	"fordusher/limits"
 	"fordusher/reach"
 )
 
@@ -50,6 +53,8 @@
 	counts                     director.Counts
 	owed, playing, legs, links int
 	players                    int
+	used, busy                 int
+	mode                       limits.Mode
 }
 
 // Start runs a director around a module. Boot is a word that no other run of this director has used.
@@ -151,6 +156,9 @@
 		}
 		if now >= snapped+snapEvery || ended {
 			snapped = now
+			if d.house.Room.Memory > 0 {
+				ended = d.carryOut(d.loop.Step(now, director.Memory{Bytes: used()})) || ended
+			}
 			d.snap()
 		}
 		if len(batch) > 0 {
@@ -201,8 +209,16 @@
 	d.log.Info().Msg("closed")
 }
 
+// used is what the program holds of the machine's memory.
+func used() int64 {
+	sample := []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}}
+	metrics.Read(sample)
+	return int64(sample[0].Value.Uint64() - sample[1].Value.Uint64())
+}
+
 func (d *Daemon) snap() {
 	s := &snapshot{players: len(d.players)}
+	s.used, s.busy, s.mode = d.loop.Room()
 	s.counts, s.owed, s.playing, s.legs, s.links = d.loop.Counts()
 	d.seen.Store(s)
 }
@@ -213,7 +229,7 @@
 		i.peer.pending.Add(-1)
 	}
 	switch e := i.in.(type) {
-	case director.PlayerOpened:
+	case director.PlayerKnocked:
 		d.players[e.Conn] = i.conn
 	case director.PlayerClosed:
 		delete(d.players, e.Conn)
@@ -234,11 +250,25 @@
 	for _, o := range outs {
 		switch o := o.(type) {
 		case director.TellPlayer:
-			if c := d.players[o.Conn]; c != nil {
+			if c := d.players[o.Conn]; c == nil {
+			} else if o.Message.Type == wire.Rung { // advice: the next one makes it worthless
+				c.Advise(wire.Encode(o.Message), o.Merge)
+			} else {
 				c.Send(wire.Encode(o.Message), 0)
 			}
-		case director.ClosePlayer:
+		case director.Welcome:
+			if c := d.players[o.Conn]; c != nil {
+				c.Welcome()
+			}
+		case director.TurnAway:
 			if c := d.players[o.Conn]; c != nil {
+				c.TurnAway(o.Retry, o.Why)
+			}
+		case director.ClosePlayer:
+			if c := d.players[o.Conn]; c == nil {
+			} else if o.Code == 0 {
+				c.Cut()
+			} else {
 				c.Close(ws.StatusCode(o.Code), o.Why)
 			}
 		case director.TellNode:
@@ -345,10 +375,20 @@
 
 type players struct{ d *Daemon }
 
-func (h players) Opened(c *transport.Conn) {
+func (h players) Knock(c *transport.Conn) {
 	p := &peer{number: h.d.lastConn.Add(1)}
 	c.SetCookie(p)
-	h.d.inbox.put(item{in: director.PlayerOpened{Conn: p.number}, conn: c})
+	var from netip.Addr
+	if a, ok := c.Peer().(interface{ AddrPort() netip.AddrPort }); ok {
+		from = a.AddrPort().Addr().Unmap()
+	} else if a, err := netip.ParseAddrPort(c.Peer().String()); err == nil {
+		from = a.Addr().Unmap()
+	}
+	h.d.inbox.put(item{in: director.PlayerKnocked{Conn: p.number, Address: from}, conn: c})
+}
+
+func (h players) Opened(c *transport.Conn) {
+	h.d.inbox.put(item{in: director.PlayerOpened{Conn: c.Cookie().(*peer).number}})
 }
 
 func (h players) Message(c *transport.Conn, raw []byte) {
@@ -449,6 +489,10 @@
 		{"sessions_playing", "sessions that play", prometheus.GaugeValue, float64(s.playing)},
 		{"legs_out", "legs, set-ups and sessions", prometheus.GaugeValue, float64(s.legs)},
 		{"node_connections", "connections to nodes", prometheus.GaugeValue, float64(s.links)},
+		{"players_turned_away_total", "players not let in", prometheus.CounterValue, float64(c.TurnedAway)},
+		{"players_let_go_total", "idle players let go", prometheus.CounterValue, float64(c.LetGo)},
+		{"room_mode", "0 normal, 1 saving, 2 full", prometheus.GaugeValue, float64(s.mode)},
+		{"player_connections_busy", "players with a session or an answer owed", prometheus.GaugeValue, float64(s.busy)},
 		{"player_connections", "connections of players", prometheus.GaugeValue, float64(s.players)},
 		{"loop_late_seconds", "greatest lateness of the loop since the last look", prometheus.GaugeValue,
 			time.Duration(d.late.Swap(0)).Seconds()},
--- a/internal/director/account.go
+++ b/internal/director/account.go
@@ -1,19 +1,21 @@
 package director
 
 import (
+	"fmt"
 	"time"
 
 	"fordusher/internal/wire"
+	"fordusher/limits"
 	"fordusher/policy"
 )
 
 // A conn is a player's connection. Its requests are those whose session lives, and the last few that ended.
 type conn struct {
 	number   uint64
-	requests map[string]*request // at most PerConnection live ones and remembered ended ones
+	requests map[string]*request // at most PerConnection live ones and remembered ended ones; nil before the first
 	ended    []string            // ids of requests that ended, oldest first
-	live     int
-	ping     *timer
+	live     int32
+	seat     int32 // its small index, for the limits
 }
 
 // remembered is how many ended requests of a connection can still be answered as before.
@@ -116,11 +118,68 @@
 
 // Players.
 
+// knocked asks the limits whether a player is let in.
+func (l *Loop) knocked(e PlayerKnocked) {
+	seat := int32(len(l.seats))
+	if n := len(l.unseated); n > 0 {
+		seat = l.unseated[n-1]
+	}
+	plan := l.limit(limits.Event{What: limits.Knock, Conn: int(seat), Address: e.Address})
+	if !plan.Admit {
+		l.counts.TurnedAway++
+		l.do(TurnAway{e.Conn, plan.Retry, plan.Why})
+		return
+	}
+	if n := len(l.unseated); n > 0 {
+		l.unseated = l.unseated[:n-1]
+		l.seats[seat] = e.Conn
+	} else {
+		l.seats = append(l.seats, e.Conn)
+	}
+	l.conns[e.Conn] = &conn{number: e.Conn, seat: seat}
+	l.do(Welcome{e.Conn})
+}
+
+// limit tells the limits what happened and carries out their plan.
+func (l *Loop) limit(e limits.Event) *limits.Plan {
+	plan := l.limits.Step(l.now, e)
+	if e.What == limits.Ring {
+		l.more = plan.More
+	}
+	for _, seat := range plan.Ping {
+		l.do(AskPlayerAlive{l.seats[seat]})
+	}
+	for _, x := range plan.Let {
+		l.counts.LetGo++
+		why := x.Why
+		if x.Retry > 0 {
+			why = fmt.Sprintf("retry-ms=%d %s", x.Retry.Milliseconds(), why)
+		}
+		l.do(ClosePlayer{l.seats[x.Conn], x.Code, why})
+	}
+	if plan.Log != "" {
+		l.log("%s", plan.Log)
+	}
+	return plan
+}
+
+// busy counts the sessions of a connection: with one, it is never let go.
+func (l *Loop) busy(c *conn, by int32) {
+	c.live += by
+	switch {
+	case c.live == 1 && by > 0:
+		l.limit(limits.Event{What: limits.Busy, Conn: int(c.seat)})
+	case c.live == 0:
+		l.limit(limits.Event{What: limits.Idle, Conn: int(c.seat)})
+	}
+}
+
 func (l *Loop) playerSaid(e PlayerSaid) {
 	c := l.conns[e.Conn]
 	if c == nil {
 		return // it closed a moment ago
 	}
+	l.limit(limits.Event{What: limits.Heard, Conn: int(c.seat)})
 	m := e.Message
 	r := c.requests[m.ID]
 	switch m.Type {
@@ -128,7 +187,7 @@
 		if r != nil { // a repetition: answered as before, never taken twice
 			l.counts.Repeated++
 			if r.answer != nil {
-				l.do(TellPlayer{c.number, *r.answer})
+				l.do(TellPlayer{Conn: c.number, Message: *r.answer})
 			}
 			return
 		}
@@ -150,12 +209,15 @@
 func (l *Loop) want(c *conn, m wire.Session) {
 	l.counts.Taken++
 	r := &request{}
+	if c.requests == nil {
+		c.requests = map[string]*request{}
+	}
 	c.requests[m.ID] = r
 	refuse := func(kind, why string, count *uint64) {
 		*count++
 		answer := wire.Session{Type: kind, ID: m.ID, Why: why}
 		r.answer = &answer
-		l.do(TellPlayer{c.number, answer})
+		l.do(TellPlayer{Conn: c.number, Message: answer})
 		l.remember(c, m.ID)
 	}
 	tariff, known := l.tariff[m.Tariff]
@@ -172,7 +234,7 @@
 	case !listed:
 		refuse(wire.Nack, "unknown title", &l.counts.Nacked)
 		return
-	case c.live >= l.manners.PerConnection:
+	case int(c.live) >= l.manners.PerConnection:
 		refuse(wire.Nack, "too many sessions on this connection", &l.counts.Nacked)
 		return
 	}
@@ -193,7 +255,7 @@
 		rung: l.tariffs[tariff].Floor,
 	}
 	r.session = s
-	c.live++
+	l.busy(c, +1)
 	l.sessions[s.id], l.keys[s.key] = s, s
 	l.owed++
 	s.answer = l.timers.add(stop, timerAnswer, s.id)
@@ -212,12 +274,12 @@
 func (l *Loop) adopt(s *session, c *conn, id string, stop time.Duration) {
 	l.counts.Adopted++
 	if s.conn != nil && s.conn != c {
-		l.do(TellPlayer{s.conn.number, wire.Session{Type: wire.Over, ID: s.request, Session: s.name, Why: "taken over"}})
+		l.do(TellPlayer{Conn: s.conn.number, Message: wire.Session{Type: wire.Over, ID: s.request, Session: s.name, Why: "taken over"}})
 	}
 	l.unhand(s)
 	s.conn, s.request = c, id
 	c.requests[id].session = s
-	c.live++
+	l.busy(c, +1)
 	if s.linger != nil {
 		l.timers.remove(s.linger)
 		s.linger = nil
@@ -238,7 +300,7 @@
 // unhand takes a session off its connection.
 func (l *Loop) unhand(s *session) {
 	if c := s.conn; c != nil {
-		c.live--
+		l.busy(c, -1)
 		if r := c.requests[s.request]; r != nil {
 			r.session = nil
 		}
@@ -262,7 +324,9 @@
 		return
 	}
 	delete(l.conns, number)
-	l.timers.remove(c.ping)
+	l.limit(limits.Event{What: limits.Left, Conn: int(c.seat)})
+	l.seats[c.seat] = 0
+	l.unseated = append(l.unseated, c.seat)
 	for id := range sorted(c.requests) {
 		s := c.requests[id].session
 		if s == nil {
@@ -310,7 +374,7 @@
 	if r := s.conn.requests[s.request]; r != nil {
 		r.answer = answer
 	}
-	l.do(TellPlayer{s.conn.number, *answer})
+	l.do(TellPlayer{Conn: s.conn.number, Message: *answer})
 }
 
 func (l *Loop) nack(s *session, backoff time.Duration, why string) {
@@ -334,7 +398,7 @@
 func (l *Loop) tellPlays(s *session) {
 	answer := l.plays(s)
 	s.conn.requests[s.request].answer = &answer
-	l.do(TellPlayer{s.conn.number, answer})
+	l.do(TellPlayer{Conn: s.conn.number, Message: answer})
 }
 
 // answerOverdue gives a session the answer that its time leaves. The module answers before; this holds
@@ -357,7 +421,7 @@
 // over tells a player that its session has ended.
 func (l *Loop) over(s *session, why string) {
 	if s.conn != nil {
-		l.do(TellPlayer{s.conn.number, wire.Session{Type: wire.Over, ID: s.request, Session: s.name, Why: why}})
+		l.do(TellPlayer{Conn: s.conn.number, Message: wire.Session{Type: wire.Over, ID: s.request, Session: s.name, Why: why}})
 	}
 }
 
@@ -437,7 +501,7 @@
 		l.do(TellNode{g.node.link, 0, wire.Node{Type: wire.Rung, Leg: g.id, Rung: s.rung, Rate: l.rateOf(s)}})
 	}
 	if s.phase == playing && s.conn != nil {
-		l.do(TellPlayer{s.conn.number, wire.Session{Type: wire.Rung, ID: s.request, Session: s.name, Rung: s.rung}})
+		l.do(TellPlayer{s.conn.number, wire.Session{Type: wire.Rung, ID: s.request, Session: s.name, Rung: s.rung}, s.id})
 	}
 }
 
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -19,12 +19,14 @@
 	"cmp"
 	"fmt"
 	"math"
+	"net/netip"
 	"slices"
 	"strconv"
 	"time"
 
 	"fordusher/closing"
 	"fordusher/internal/wire"
+	"fordusher/limits"
 	"fordusher/policy"
 	"fordusher/reach"
 )
@@ -35,8 +37,15 @@
 // The inputs. Conn numbers a player's connection, Link one connection to a node; the caller picks both
 // numbers and never uses one twice.
 type (
-	// PlayerOpened says that a player has connected.
+	// PlayerKnocked says that a player wants to connect; Welcome or TurnAway answers it.
+	PlayerKnocked struct {
+		Conn    uint64
+		Address netip.Addr
+	}
+	// PlayerOpened says that a player who was welcome has connected.
 	PlayerOpened struct{ Conn uint64 }
+	// Memory is what the program uses now, in bytes.
+	Memory struct{ Bytes int64 }
 	// PlayerSaid is a message from a player.
 	PlayerSaid struct {
 		Conn    uint64
@@ -89,33 +98,45 @@
 	Stop struct{}
 )
 
-func (PlayerOpened) input() {}
-func (PlayerSaid) input()   {}
-func (PlayerClosed) input() {}
-func (LinkMade) input()     {}
-func (LinkFailed) input()   {}
-func (LinkSaid) input()     {}
-func (LinkAlive) input()    {}
-func (PlayerAlive) input()  {}
-func (LinkLost) input()     {}
-func (Withdrawn) input()    {}
-func (ListOpened) input()   {}
-func (ListSaid) input()     {}
-func (ListLost) input()     {}
-func (Tick) input()         {}
-func (Stop) input()         {}
+func (PlayerKnocked) input() {}
+func (PlayerOpened) input()  {}
+func (Memory) input()        {}
+func (PlayerSaid) input()    {}
+func (PlayerClosed) input()  {}
+func (LinkMade) input()      {}
+func (LinkFailed) input()    {}
+func (LinkSaid) input()      {}
+func (LinkAlive) input()     {}
+func (PlayerAlive) input()   {}
+func (LinkLost) input()      {}
+func (Withdrawn) input()     {}
+func (ListOpened) input()    {}
+func (ListSaid) input()      {}
+func (ListLost) input()      {}
+func (Tick) input()          {}
+func (Stop) input()          {}
 
 // Output is something to be done: one of the types below that have an output method.
 type Output interface{ output() }
 
 // The outputs.
 type (
-	// TellPlayer sends a message to a player.
+	// TellPlayer sends a message to a player. A rung that was told may be dropped, or replaced by a later
+	// one of the same Merge that finds it still waiting; an answer never.
 	TellPlayer struct {
 		Conn    uint64
 		Message wire.Session
+		Merge   uint64
+	}
+	// Welcome lets a player in who has knocked.
+	Welcome struct{ Conn uint64 }
+	// TurnAway does not, and says when to come back.
+	TurnAway struct {
+		Conn  uint64
+		Retry time.Duration
+		Why   string
 	}
-	// ClosePlayer ends a player's connection, with the code of RFC 6455 and a reason.
+	// ClosePlayer ends a player's connection, with the code of RFC 6455 and a reason; code 0 cuts it.
 	ClosePlayer struct {
 		Conn uint64
 		Code int
@@ -150,6 +171,8 @@
 	Ended struct{}
 )
 
+func (Welcome) output()        {}
+func (TurnAway) output()       {}
 func (TellPlayer) output()     {}
 func (ClosePlayer) output()    {}
 func (Connect) output()        {}
@@ -174,7 +197,6 @@
 	Linger        time.Duration // a session outlives its player's connection so long
 	Connect       time.Duration // longest try to connect to a node
 	Ping          time.Duration // a node is asked for a sign of life so often; after three without one it counts as lost
-	PingPlayers   time.Duration // the same for players
 	PerConnection int           // sessions that one player's connection may have
 }
 
@@ -195,6 +217,7 @@
 	manners Manners
 	term    closing.Term
 	reach   *reach.Reach
+	limits  *limits.Limits
 
 	now     time.Duration
 	out     []Output
@@ -202,7 +225,9 @@
 	telling bool
 	timers  timers
 
-	conns    map[uint64]*conn    // emptied as connections close
+	conns    map[uint64]*conn // emptied as connections close
+	seats    []uint64         // connections by their small index; a place is used again
+	unseated []int32
 	sessions map[uint64]*session // emptied as sessions end and their last leg with them
 	keys     map[string]*session // emptied as sessions end
 	legs     map[uint64]*leg     // emptied as legs end
@@ -217,17 +242,19 @@
 	owed, playing int
 	stop          *closing.Closing
 	ended         bool
+	more          bool // the limits have more to do now
 	counts        Counts
 	oddMove       bool
 }
 
 // New starts a director. Boot is a word that no other run of this director has used.
 func New(name, boot string, seed uint64, module Decider, tariffs []Tariff, kinds []string,
-	ladder policy.Ladder, manners Manners, pace reach.Pace, term closing.Term) *Loop {
+	ladder policy.Ladder, manners Manners, pace reach.Pace, term closing.Term, room limits.Room) *Loop {
 	l := &Loop{
 		name: name, boot: boot, module: module, tariffs: tariffs, ladder: ladder, manners: manners, term: term,
 		tariff: map[string]int{}, kind: map[string]int{}, reach: reach.New(seed, pace),
-		conns: map[uint64]*conn{}, sessions: map[uint64]*session{}, keys: map[string]*session{},
+		limits: limits.New(seed, room),
+		conns:  map[uint64]*conn{}, sessions: map[uint64]*session{}, keys: map[string]*session{},
 		legs: map[uint64]*leg{}, nodes: map[string]*node{}, links: map[uint64]*node{},
 		titles: map[string]title{},
 	}
@@ -248,9 +275,13 @@
 	NeverRan                               [len(proofWords)]uint64
 	Overdue, OddMove, Stray, Late, BadWord uint64
 	Broken                                 uint64 // sessions that played and lost their node
+	TurnedAway, LetGo                      uint64 // players not let in, and idle ones let go
 	Stalls                                 uint64 // times that the loop was late by more than 100 ms
 }
 
+// Room tells how many players' connections there are, how many of them are busy, and the limits' mode.
+func (l *Loop) Room() (used, busy int, mode limits.Mode) { return l.limits.Use() }
+
 // Counts returns what was counted, and what there is now.
 func (l *Loop) Counts() (c Counts, owed, playing, legs, links int) {
 	return l.counts, l.owed, l.playing, len(l.legs), len(l.links)
@@ -258,10 +289,20 @@
 
 // Next is when Step wants a Tick at the latest.
 func (l *Loop) Next() time.Duration {
-	if t := l.timers.first(); t != nil && !l.ended {
-		return t.at
+	if l.ended {
+		return math.MaxInt64
 	}
-	return math.MaxInt64
+	if l.more {
+		return l.now
+	}
+	next := time.Duration(math.MaxInt64)
+	if t := l.timers.first(); t != nil {
+		next = t.at
+	}
+	if at, ok := l.limits.Next(); ok {
+		next = min(next, at)
+	}
+	return next
 }
 
 // Step takes what happened at a time, works off what is due, and returns what is to be done, in order.
@@ -272,17 +313,21 @@
 		return nil
 	}
 	switch e := in.(type) {
+	case PlayerKnocked:
+		l.knocked(e)
 	case PlayerOpened:
-		l.conns[e.Conn] = &conn{number: e.Conn, requests: map[string]*request{},
-			ping: l.timers.add(l.now+l.manners.PingPlayers, timerPlayer, e.Conn)}
+		if c := l.conns[e.Conn]; c != nil {
+			l.limit(limits.Event{What: limits.Shook, Conn: int(c.seat)})
+		}
+	case Memory:
+		l.limit(limits.Event{What: limits.Measure, Memory: e.Bytes})
 	case PlayerSaid:
 		l.playerSaid(e)
 	case PlayerClosed:
 		l.playerClosed(e.Conn)
 	case PlayerAlive:
-		if l.conns[e.Conn] != nil && e.Quiet > pingsMissed*l.manners.PingPlayers {
-			l.do(ClosePlayer{e.Conn, 1008, "no sign of life"})
-			l.playerClosed(e.Conn)
+		if c := l.conns[e.Conn]; c != nil {
+			l.limit(limits.Event{What: limits.Heard, Conn: int(c.seat), Ago: e.Quiet})
 		}
 	case LinkMade:
 		l.linkMade(e)
@@ -306,12 +351,17 @@
 	case Stop:
 		if l.stop == nil {
 			l.stop = closing.Begin(l.now, l.term)
+			l.limit(limits.Event{What: limits.Draining})
 			l.log("closing: %d answers owed, %d sessions play, ended within %v", l.owed, l.playing, l.term.Within)
 			l.close()
 		}
 	case Tick:
 	}
 	l.due()
+	// The work on idle connections comes in slices, one a step: what else is in the inbox goes first.
+	if at, ok := l.limits.Next(); !l.ended && (l.more || ok && at <= l.now) {
+		l.limit(limits.Event{What: limits.Ring})
+	}
 	return l.out
 }
 
@@ -381,11 +431,6 @@
 			l.do(AskAlive{t.id})
 			n.ping = l.timers.add(l.now+l.manners.Ping, timerPing, t.id)
 		}
-	case timerPlayer:
-		if c := l.conns[t.id]; c != nil {
-			l.do(AskPlayerAlive{t.id})
-			c.ping = l.timers.add(l.now+l.manners.PingPlayers, timerPlayer, t.id)
-		}
 	case timerClose:
 		l.close()
 	}
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -291,14 +291,14 @@
 	s.want("1", "exam", key("k"))
 	g := s.oneLeg()
 	s.do(PlayerClosed{1})
-	s.do(PlayerOpened{2})
+	s.enter(2)
 	s.do(PlayerSaid{2, wire.Session{Type: wire.Want, ID: "9", Tariff: "exam", Title: "t", Key: "k", Wait: 5000}})
 	s.do(said(g, wire.Accepted))
 	if a := s.oneAnswer(wire.Plays); a.ID != "9" {
 		t.Fatal(a)
 	}
 	// While the second connection still stands, a third one takes the session over.
-	s.do(PlayerOpened{3})
+	s.enter(3)
 	s.do(PlayerSaid{3, wire.Session{Type: wire.Want, ID: "7", Tariff: "exam", Title: "t", Key: "k", Wait: 5000}})
 	if a := s.answers(); len(a) != 2 || a[1].ID != "7" || a[1].Session != a[0].Session {
 		t.Fatal(a)
@@ -329,7 +329,7 @@
 	s := newStage(t, 3)
 	s.want("1", "exam", func(m *wire.Session) { m.Key = "k" })
 	s.do(PlayerClosed{1})
-	s.do(PlayerOpened{2})
+	s.enter(2)
 	s.do(PlayerSaid{2, wire.Session{Type: wire.Want, ID: "1", Tariff: "exam", Title: "t", Key: "k", Wait: 500}})
 	s.pass(451 * ms)
 	s.oneAnswer(wire.Errored)
--- a/internal/director/rules_test.go
+++ b/internal/director/rules_test.go
@@ -225,6 +225,7 @@
 			c.lastConn++
 			c.conns = append(c.conns, c.lastConn+1)
 			c.lastConn++
+			c.do(PlayerKnocked{Conn: c.lastConn})
 			c.do(PlayerOpened{c.lastConn})
 		}
 		conn := rapid.SampledFrom(c.conns).Draw(t, "conn")
--- a/internal/director/stage_test.go
+++ b/internal/director/stage_test.go
@@ -6,6 +6,7 @@
 
 	"fordusher/closing"
 	"fordusher/internal/wire"
+	"fordusher/limits"
 	"fordusher/policy"
 	"fordusher/reach"
 )
@@ -47,8 +48,9 @@
 		policy.Tidings{Late: 500 * ms, Every: 2 * time.Second, Backoff: time.Second})
 	s := &stage{t: t, links: map[string]uint64{}}
 	s.loop = New("d", "b", 1, module, tariffs, []string{"box"}, ladder,
-		Manners{AnswerAhead: 50 * ms, Linger: time.Second, Connect: 250 * ms, Ping: time.Second, PingPlayers: 10 * time.Second, PerConnection: 4},
-		reach.Pace{First: 100 * ms, Most: time.Second, AtOnce: 8}, closing.Term{Within: 2 * time.Second, Slice: 100 * ms})
+		Manners{AnswerAhead: 50 * ms, Linger: time.Second, Connect: 250 * ms, Ping: time.Second, PerConnection: 4},
+		reach.Pace{First: 100 * ms, Most: time.Second, AtOnce: 8}, closing.Term{Within: 2 * time.Second, Slice: 100 * ms},
+		limits.Room{Connections: 1000, Handshakes: 100, Ping: 10 * time.Second, Patience: time.Minute, Handshake: time.Second, Retry: 10 * time.Second})
 	var entries []wire.Entry
 	for i := range nodes {
 		entries = append(entries, up(i))
@@ -59,7 +61,7 @@
 	}
 	s.now += 1100 * ms // past the caution of a director that has just started
 	s.do(Tick{})
-	s.do(PlayerOpened{1})
+	s.enter(1)
 	s.forget()
 	return s
 }
@@ -98,6 +100,12 @@
 
 func (s *stage) forget() { s.all = nil }
 
+// enter connects a player.
+func (s *stage) enter(conn uint64) {
+	s.do(PlayerKnocked{Conn: conn})
+	s.do(PlayerOpened{conn})
+}
+
 func (s *stage) makeLink(node string) { s.do(LinkMade{node, s.links[node]}) }
 
 func (s *stage) want(id, tariff string, change ...func(*wire.Session)) {
--- a/internal/director/timers.go
+++ b/internal/director/timers.go
@@ -14,7 +14,6 @@
 	timerLinger
 	timerReach
 	timerPing
-	timerPlayer
 	timerClose
 )
 
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -46,6 +46,7 @@
 	Queue     int           // bytes of messages that wait to be written
 	Write     time.Duration // longest that a write may stand still
 	Handshake time.Duration // longest that a handshake may take
+	Pending   int           // connections whose handshake has not come whole yet; more are reset. 0: no bound
 }
 
 // headMost is the largest HTTP head of a handshake; burstMost is how much a peer may have sent beyond one
@@ -79,9 +80,42 @@
 	return "lost"
 }
 
+// A Gate is a Handler that wants to be asked before a handshake is answered: it calls Welcome or TurnAway on
+// the connection, then or later, from any goroutine.
+type Gate interface {
+	Knock(c *Conn)
+}
+
+// A carrier is what is below a connection: netpoll's, or one in memory.
+type carrier interface {
+	Close() error
+	RemoteAddr() net.Addr
+	// stage takes bytes of the frames that are to be written next. It is called with the connection's lock
+	// held and never after the connection was settled: its buffers may be another's by then.
+	stage(frames []frame, size int) error
+	// flush blocks until the kernel has what was staged, or the write time-out is over.
+	flush() error
+}
+
+type socket struct{ netpoll.Connection }
+
+func (s socket) stage(frames []frame, size int) error {
+	out, err := s.Writer().Malloc(size)
+	if err != nil {
+		return err
+	}
+	at := 0
+	for _, f := range frames {
+		at += copy(out[at:], f.body)
+	}
+	return nil
+}
+
+func (s socket) flush() error { return s.Writer().Flush() }
+
 // Conn is a WebSocket connection.
 type Conn struct {
-	np      netpoll.Connection
+	np      carrier
 	handler Handler
 	bounds  Bounds
 	client  bool // this side dialled: it masks, its peer does not
@@ -98,19 +132,24 @@
 
 	once    sync.Once
 	mu      sync.Mutex
-	shook   bool // the handshake is done
-	fd      int  // where frames are written at once while nothing waits; under 0: not there (any more)
+	shook   bool        // the handshake is done
+	head    []byte      // of a handshake that waits for the gate
+	whole   atomic.Bool // the handshake has come whole, or the connection has ended before
+	cutoff  *time.Timer // for one that does not
+	fd      int         // where frames are written at once while nothing waits; under 0: not there (any more)
 	queue   []frame
 	queued  int
 	writing bool
 	why     error // set once the connection is to end
 	last    bool  // nothing more goes out but the close frame that is queued
 	heard   atomic.Int64
+	dropped atomic.Int32
 }
 
 type frame struct {
-	tag  uint64
-	body []byte
+	tag    uint64
+	advice uint64
+	body   []byte
 }
 
 // Cookie is what SetCookie stored, nil before that.
@@ -135,48 +174,81 @@
 // connection has ended or its queue is full, in which case the connection is ended.
 func (c *Conn) Send(message []byte, tag uint64) bool { return c.send(ws.OpText, message, tag) }
 
+// Advise queues a message that may be dropped or overtaken: one with the same key that still waits is
+// replaced by it, and nothing is queued where half of the queue's bound is taken. It is for advice, which a
+// later one makes worthless; key 0 replaces nothing.
+func (c *Conn) Advise(message []byte, key uint64) {
+	c.mu.Lock()
+	if c.queued*2 > c.bounds.Queue {
+		c.dropped.Add(1)
+		c.mu.Unlock()
+		return
+	}
+	for i := range c.queue {
+		if f := &c.queue[i]; key != 0 && f.advice == key {
+			body := c.frame(ws.OpText, message)
+			c.queued += len(body) - len(f.body)
+			f.body = body
+			c.dropped.Add(1)
+			c.mu.Unlock()
+			return
+		}
+	}
+	c.mu.Unlock()
+	c.put(frame{body: c.frame(ws.OpText, message), advice: key}, false)
+}
+
+// Dropped counts advice that was dropped or replaced.
+func (c *Conn) Dropped() int { return int(c.dropped.Load()) }
+
 // Ping queues a ping.
 func (c *Conn) Ping() bool { return c.send(ws.OpPing, nil, 0) }
 
 func (c *Conn) send(op ws.OpCode, payload []byte, tag uint64) bool {
+	return c.put(frame{tag: tag, body: c.frame(op, payload)}, op == ws.OpClose)
+}
+
+// frame puts a payload into a frame of its own.
+func (c *Conn) frame(op ws.OpCode, payload []byte) []byte {
 	f := ws.NewFrame(op, true, payload)
 	if c.client {
 		f = ws.MaskFrame(f)
 	}
-	body, err := ws.CompileFrame(f)
-	if err != nil {
-		return false
-	}
-	return c.enqueue(body, tag, op == ws.OpClose)
+	return ws.MustCompileFrame(f)
 }
 
 func (c *Conn) enqueue(body []byte, tag uint64, last bool) bool {
+	return c.put(frame{tag: tag, body: body}, last)
+}
+
+// put writes a frame at once where nothing waits, and queues it else.
+func (c *Conn) put(f frame, last bool) bool {
 	c.mu.Lock()
 	if c.why != nil && !last || c.last {
 		c.mu.Unlock()
 		return false
 	}
 	if !last && !c.writing && c.fd >= 0 {
-		n, err := unix.Write(c.fd, body)
+		n, err := unix.Write(c.fd, f.body)
 		switch {
-		case n == len(body):
+		case n == len(f.body):
 			c.mu.Unlock()
 			return true
 		case n > 0: // the rest can't be had back any more
-			body, tag = body[n:], 0
+			f = frame{body: f.body[n:]}
 		case err != unix.EAGAIN && err != unix.EINTR:
 			c.mu.Unlock()
 			c.fail(err)
 			return false
 		}
 	}
-	if c.queued+len(body) > c.bounds.Queue && !last {
+	if c.queued+len(f.body) > c.bounds.Queue && !last {
 		c.mu.Unlock()
 		c.fail(fmt.Errorf("%w: %d bytes wait", ErrSlow, c.queued))
 		return false
 	}
-	c.queue = append(c.queue, frame{tag, body})
-	c.queued += len(body)
+	c.queue = append(c.queue, f)
+	c.queued += len(f.body)
 	c.last = c.last || last
 	start := !c.writing
 	c.writing = true
@@ -206,13 +278,13 @@
 // callback is in place, which runs before the descriptor is closed: no other file can come to have it while
 // a write holds the lock.
 func (c *Conn) writeAtOnce() {
-	f, ok := c.np.(netpoll.Conn)
+	f, ok := c.descriptor()
 	if !ok {
 		return
 	}
 	c.mu.Lock()
 	if c.why == nil && !c.last {
-		c.fd = f.Fd()
+		c.fd = f
 	}
 	c.mu.Unlock()
 }
@@ -240,19 +312,12 @@
 			size += len(c.queue[take].body)
 			take++
 		}
-		w := c.np.Writer()
-		out, err := w.Malloc(size)
-		if err == nil {
-			at := 0
-			for _, f := range c.queue[:take] {
-				at += copy(out[at:], f.body)
-			}
-			c.queue = c.queue[take:]
-			c.queued -= size
-		}
+		err := c.np.stage(c.queue[:take], size)
+		c.queue = c.queue[take:]
+		c.queued -= size
 		c.mu.Unlock()
 		if err == nil {
-			err = w.Flush()
+			err = c.np.flush()
 		}
 		if err != nil {
 			if errors.Is(err, netpoll.ErrWriteTimeout) {
@@ -296,12 +361,21 @@
 
 // Reset ends the connection at once so that the peer sees a reset.
 func (c *Conn) Reset() {
-	if f, ok := c.np.(netpoll.Conn); ok {
-		setLinger(f.Fd())
+	if f, ok := c.descriptor(); ok {
+		setLinger(f)
 	}
 	c.fail(ErrClosed)
 }
 
+func (c *Conn) descriptor() (int, bool) {
+	if s, ok := c.np.(socket); ok {
+		if f, ok := s.Connection.(netpoll.Conn); ok {
+			return f.Fd(), true
+		}
+	}
+	return 0, false
+}
+
 func (c *Conn) fail(why error) {
 	c.mu.Lock()
 	if c.why == nil {
@@ -318,6 +392,7 @@
 
 func (c *Conn) settle() {
 	if c.server != nil {
+		c.cameWhole()
 		c.server.forget(c)
 	}
 	c.mu.Lock()
@@ -351,13 +426,18 @@
 	if err != nil {
 		return err
 	}
+	c.feed(in)
+	return r.Release()
+}
+
+// feed takes bytes from the peer; they are the caller's again afterwards.
+func (c *Conn) feed(in []byte) {
 	c.heard.Store(time.Now().UnixNano())
 	if len(c.partial) > 0 {
 		c.partial = append(c.partial, in...)
 		in = c.partial
 	}
 	c.keep(in, c.consume(in))
-	return r.Release()
 }
 
 // keep holds on to the incomplete rest of what has come.
@@ -372,6 +452,16 @@
 
 // consume works through what has come and returns the incomplete rest.
 func (c *Conn) consume(in []byte) []byte {
+	if !c.open {
+		c.mu.Lock()
+		waits := c.head != nil
+		c.open = c.shook
+		c.mu.Unlock()
+		if waits {
+			c.turnAway(errors.New("bytes before the handshake was answered"))
+			return nil
+		}
+	}
 	if !c.open {
 		end := bytes.Index(in, []byte("\r\n\r\n"))
 		if end < 0 {
@@ -381,9 +471,19 @@
 			}
 			return in
 		}
-		if !c.upgrade(in[:end+4]) {
+		head := in[:end+4]
+		c.cameWhole()
+		if gate, ok := c.handler.(Gate); ok && c.server != nil && !c.server.silent.Load() {
+			c.mu.Lock()
+			c.head = bytes.Clone(head)
+			c.mu.Unlock()
+			gate.Knock(c)
+			return nil
+		}
+		if !c.upgrade(head) {
 			return nil
 		}
+		c.open = true
 		in = in[end+4:]
 	}
 	for len(in) > 0 {
@@ -475,14 +575,46 @@
 	c.fail(fmt.Errorf("%w: %v", ErrHandshake, why))
 }
 
-// upgrade answers a handshake, or checks the answer to ours.
+// Welcome answers a handshake that waits for the gate.
+func (c *Conn) Welcome() {
+	c.mu.Lock()
+	head := c.head
+	c.head = nil
+	c.mu.Unlock()
+	if head != nil {
+		c.upgrade(head)
+	}
+}
+
+// TurnAway answers a handshake that waits for the gate with 503 and a time to come back.
+func (c *Conn) TurnAway(retry time.Duration, why string) {
+	c.mu.Lock()
+	waits := c.head != nil
+	c.head = nil
+	c.mu.Unlock()
+	if !waits {
+		return
+	}
+	seconds := int64((retry + time.Second - 1) / time.Second) // the header has whole seconds
+	c.answer(http.StatusServiceUnavailable, fmt.Sprintf("Retry-After: %d\r\nX-Retry-After-Ms: %d\r\n", seconds, retry.Milliseconds()), why)
+}
+
+// answer ends a handshake with a status.
+func (c *Conn) answer(status int, headers, why string) {
+	c.mu.Lock()
+	if c.why == nil {
+		c.why = fmt.Errorf("%w: %s", ErrHandshake, why)
+	}
+	c.mu.Unlock()
+	c.enqueue(fmt.Appendf(nil, "HTTP/1.1 %d %s\r\n%sContent-Type: text/plain\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", status,
+		http.StatusText(status), headers, len(why), why), 0, true)
+}
+
+// upgrade answers a handshake.
 func (c *Conn) upgrade(head []byte) bool {
-	if c.client {
+	if c.server == nil || c.server.silent.Load() {
 		return false // a client upgrades before it reads
 	}
-	if c.server.silent.Load() {
-		return false
-	}
 	var out bytes.Buffer
 	up := ws.Upgrader{
 		Protocol: func(p []byte) bool { return string(p) == c.server.protocol },
@@ -492,18 +624,17 @@
 		err = fmt.Errorf("no sub-protocol %s offered", c.server.protocol)
 		out.Reset()
 	}
-	if err != nil && out.Len() == 0 {
-		fmt.Fprintf(&out, "HTTP/1.1 %d %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
-			http.StatusBadRequest, http.StatusText(http.StatusBadRequest))
-	}
 	if err != nil {
+		if out.Len() == 0 {
+			c.answer(http.StatusBadRequest, "", err.Error())
+			return false
+		}
 		c.mu.Lock()
 		c.why = fmt.Errorf("%w: %v", ErrHandshake, err)
 		c.mu.Unlock()
 		c.enqueue(out.Bytes(), 0, true)
 		return false
 	}
-	c.open = true
 	c.mu.Lock()
 	c.shook = true
 	c.mu.Unlock()
@@ -521,6 +652,7 @@
 	loop     netpoll.EventLoop
 	silent   atomic.Bool
 	refusing atomic.Bool
+	pending  atomic.Int32 // connections whose handshake has not come whole yet
 	mu       sync.Mutex
 	conns    map[*Conn]bool // emptied as connections close
 }
@@ -536,8 +668,9 @@
 	s.loop, err = netpoll.NewEventLoop(
 		func(ctx context.Context, np netpoll.Connection) error { return ctx.Value(key{}).(*Conn).read(ctx, np) },
 		netpoll.WithOnPrepare(func(np netpoll.Connection) context.Context {
-			c := &Conn{np: np, handler: handler, bounds: bounds, server: s, fd: -1}
-			if s.refusing.Load() {
+			c := &Conn{np: socket{np}, handler: handler, bounds: bounds, server: s, fd: -1}
+			if n := s.pending.Add(1); s.refusing.Load() || bounds.Pending > 0 && int(n) > bounds.Pending {
+				s.pending.Add(-1)
 				c.server = nil
 				if f, ok := np.(netpoll.Conn); ok {
 					setLinger(f.Fd())
@@ -552,7 +685,7 @@
 			s.conns[c] = true
 			s.mu.Unlock()
 			if bounds.Handshake > 0 {
-				time.AfterFunc(bounds.Handshake, func() { s.expire(c) })
+				c.cutoff = time.AfterFunc(bounds.Handshake, func() { s.expire(c) })
 			}
 			return context.WithValue(context.Background(), key{}, c)
 		}))
@@ -602,12 +735,20 @@
 	s.mu.Unlock()
 }
 
+// cameWhole notes that a handshake has come whole, or never will.
+func (c *Conn) cameWhole() {
+	if c.server != nil && !c.whole.Swap(true) {
+		c.server.pending.Add(-1)
+		if c.cutoff != nil {
+			c.cutoff.Stop()
+			c.cutoff = nil
+		}
+	}
+}
+
 // expire ends a connection whose handshake took too long.
 func (s *Server) expire(c *Conn) {
-	c.mu.Lock()
-	shook := c.shook
-	c.mu.Unlock()
-	if !shook {
+	if !c.whole.Load() {
 		c.turnAway(fmt.Errorf("not done within %v", s.bounds.Handshake))
 	}
 }
@@ -632,7 +773,7 @@
 	}
 	np.SetReadTimeout(0)
 	np.SetWriteTimeout(bounds.Write)
-	c := &Conn{np: np, handler: handler, bounds: bounds, client: true, open: true, shook: true, fd: -1}
+	c := &Conn{np: socket{np}, handler: handler, bounds: bounds, client: true, open: true, shook: true, fd: -1}
 	c.heard.Store(time.Now().UnixNano())
 	if cookie != nil {
 		c.SetCookie(cookie)
--- a/limits/limits.go
+++ b/limits/limits.go
@@ -83,6 +83,7 @@
 	What    What
 	Conn    int
 	Address netip.Addr
+	Ago     time.Duration // Heard: how long ago
 	Memory  int64
 }
 
@@ -275,7 +276,7 @@
 			l.wheel.Move(c.timer, l.now+time.Duration(l.chance.Int64N(int64(l.room.Ping)))+1)
 		}
 	case Heard:
-		c.heard = l.now
+		c.heard = max(c.heard, l.now-e.Ago)
 	case Busy:
 		if c.stage == idle {
 			l.unlink(i)
