--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -170,7 +170,8 @@
 // Heard is when anything last came from the peer, in nanoseconds of the Unix clock.
 func (c *Conn) Heard() time.Time { return time.Unix(0, c.heard.Load()) }
 
-// Send queues a message; a tag other than 0 lets Withdraw and Closed name it. It says false where the
+// Send queues a message, or writes it where nothing waits; it never calls the handler, so it may be called
+// with any lock held. A tag other than 0 lets Withdraw and Closed name it. It says false where the
 // connection has ended or its queue is full, in which case the connection is ended.
 func (c *Conn) Send(message []byte, tag uint64) bool { return c.send(ws.OpText, message, tag) }
 
@@ -238,13 +239,14 @@
 			f = frame{body: f.body[n:]}
 		case err != unix.EAGAIN && err != unix.EINTR:
 			c.mu.Unlock()
-			c.fail(err)
+			go c.fail(err) // the handler's Closed may want a lock that our caller holds
 			return false
 		}
 	}
 	if c.queued+len(f.body) > c.bounds.Queue && !last {
+		queued := c.queued
 		c.mu.Unlock()
-		c.fail(fmt.Errorf("%w: %d bytes wait", ErrSlow, c.queued))
+		go c.fail(fmt.Errorf("%w: %d bytes wait", ErrSlow, queued))
 		return false
 	}
 	c.queue = append(c.queue, f)
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -235,6 +235,47 @@
 	}
 }
 
+// A handler that sends under a lock of its own, which its Closed wants too, is not caught in it: a write
+// that fails ends the connection from elsewhere. This hung a whole day once.
+func TestSendMayBeCalledUnderTheHandlersLock(t *testing.T) {
+	h := &locked{opened: make(chan *Conn, 1), closed: make(chan bool, 1)}
+	s := start(t, h)
+	peer, r := raw(t, s, shake)
+	skipHead(t, r)
+	c := <-h.opened
+	peer.(*net.TCPConn).SetLinger(0)
+	peer.Close() // a reset: the next writes fail
+	done := make(chan bool)
+	go func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		for c.Send([]byte("x"), 0) {
+		}
+		close(done)
+	}()
+	for _, ch := range []chan bool{done, h.closed} {
+		select {
+		case <-ch:
+		case <-time.After(5 * time.Second):
+			t.Fatal("stuck")
+		}
+	}
+}
+
+type locked struct {
+	mu     sync.Mutex
+	opened chan *Conn
+	closed chan bool
+}
+
+func (h *locked) Opened(c *Conn)        { h.opened <- c }
+func (h *locked) Message(*Conn, []byte) {}
+func (h *locked) Closed(*Conn, error, []uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.closed <- true
+}
+
 func TestDialSaysWhatFailed(t *testing.T) {
 	s := start(t, newEcho())
 	if _, err := Dial(s.Address(), "other.v1", time.Second, bounds, newEcho(), nil); !errors.Is(err, ErrHandshake) {
