Load tool: idle connections over sockets and a million in memory; signs of life in batches

Need: what an idle connection and its timer cost has to be measured, beside a door with a goroutine and a timer for each. Change: load idle and load million; netpoll's buffer of an idle connection from 8 KiB to 256 bytes; signs of life are counted by what was asked, and asked for in batches of 100 ms.

--- a/cmd/fordusher/load.go
+++ b/cmd/fordusher/load.go
@@ -1,9 +1,13 @@
 package main
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"os/signal"
@@ -14,11 +18,148 @@
 	"syscall"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
 	"fordusher/internal/load"
 )
 
 type loadCommand struct {
-	Setups setupsCommand `cmd:"" help:"Set-ups at a steady rate: what a director adds to a player that speaks to nodes itself."`
+	Setups  setupsCommand  `cmd:"" help:"Set-ups at a steady rate: what a director adds to a player that speaks to nodes itself."`
+	Idle    idleCommand    `cmd:"" help:"Idle connections over sockets: what each costs a director, and a door with a goroutine and a timer for each."`
+	Million millionCommand `cmd:"" help:"Idle connections in memory while set-ups and drains go on, and all timers due at once."`
+	Plain   plainCommand   `cmd:"" hidden:"" help:"The door with a goroutine and a timer for each connection."`
+}
+
+type idleCommand struct {
+	Connections int           `help:"Idle connections; as many as descriptors allow where that is less." default:"18000"`
+	For         time.Duration `help:"How long the processor time of idleness is measured." default:"30s"`
+	Ping        time.Duration `help:"A sign of life is asked for so often." default:"10s"`
+	JSON        bool          `help:"Print one object as the last line."`
+}
+
+func (c *idleCommand) Run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return err
+	}
+	const spare = 500
+	n := min(c.Connections, int(min(limit.Cur, 1<<30))-spare) / 32 * 32
+	fmt.Printf("%d descriptors allowed, %d connections, a sign of life each %v, one core\n", limit.Cur, n, c.Ping)
+	p, err := newProcesses()
+	if err != nil {
+		return err
+	}
+	defer p.close()
+	i := load.Idle{Connections: n, For: c.For, Ping: c.Ping}
+	var results []*load.IdleResult
+	for _, what := range []struct {
+		name  string
+		start func() (*measuredProcess, error)
+	}{
+		{"director", func() (*measuredProcess, error) { return p.idle(n, c.Ping) }},
+		{"goroutine and timer each", func() (*measuredProcess, error) { return p.start("load", "plain", "--ping", c.Ping.String()) }},
+	} {
+		process, err := what.start()
+		if err != nil {
+			return err
+		}
+		r, err := i.Run(ctx, what.name, process)
+		process.Kill()
+		if err != nil {
+			return err
+		}
+		results = append(results, r)
+	}
+	fmt.Print(load.IdleTable(results...))
+	a, b := results[0], results[1]
+	fmt.Printf("ratio, director over the other: Go memory %.2f, RSS %.2f, processor time %.2f\n", (a.Heap+a.Stacks)/(b.Heap+b.Stacks), a.RSS/b.RSS, a.CPU/b.CPU)
+	return printJSON(c.JSON, map[string]any{"load": i, "results": results})
+}
+
+func printJSON(want bool, x any) error {
+	if !want {
+		return nil
+	}
+	line, err := json.Marshal(x)
+	if err != nil {
+		return err
+	}
+	fmt.Println(string(line))
+	return nil
+}
+
+type millionCommand struct {
+	Connections int           `help:"Idle connections." default:"1000000"`
+	Rate        float64       `help:"Set-ups a second meanwhile." default:"500"`
+	Ping        time.Duration `help:"A sign of life is asked for so often." default:"60s"`
+	For         time.Duration `help:"How long each part is measured." default:"10s"`
+	Nodes       int           `help:"Stand-in nodes." default:"50"`
+	Cores       int           `help:"Cores for everything." default:"1"`
+	JSON        bool          `help:"Print one object as the last line."`
+}
+
+func (c *millionCommand) Run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	runtime.GOMAXPROCS(c.Cores)
+	x := load.Million{Connections: c.Connections, Ping: c.Ping, Rate: c.Rate, For: c.For, Nodes: c.Nodes}
+	r, err := x.Run(ctx, func(format string, args ...any) { fmt.Fprintf(os.Stderr, format+"\n", args...) })
+	if err != nil {
+		return err
+	}
+	fmt.Print(r.Table())
+	return printJSON(c.JSON, r)
+}
+
+type plainCommand struct {
+	Ping time.Duration `default:"10s"`
+}
+
+func (c *plainCommand) Run() error {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	page, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	reg := prometheus.NewRegistry()
+	reg.MustRegister(collectors.NewGoCollector())
+	go http.Serve(page, figures(reg))
+	if err := printJSON(true, ready{Listen: ln.Addr().String(), Metrics: page.Addr().String()}); err != nil {
+		return err
+	}
+	return load.Plain(ctx, ln, c.Ping)
+}
+
+// idle starts a director that takes so many idle connections, on one core.
+func (p *processes) idle(n int, ping time.Duration) (*measuredProcess, error) {
+	house := fmt.Sprintf(`{"director": {"name": "idle", "me": 0, "directors": 1}, "listen": "127.0.0.1:0", "metrics": "127.0.0.1:0",
+		"list": {"address": "127.0.0.1:1"}, "tariffs": {"clip": {"goal_time": "1s", "hard_stop": "3s"}}, "ladder": {"rates": ["100kB/s"]},
+		"fleet": {"cells": 1, "racks": 1, "link_unit": "1000kB/s", "uplink": "1000kB/s", "machines": {"box": 5}},
+		"ramp": {"warmup": "1s", "cold_from": 0.5, "multiple": 4, "tip_after": "1s"}, "closing": {"within": "100ms"},
+		"manners": {"ping_players": "%v"}, "limits": {"connections": %d}}`, ping, n*2)
+	file := filepath.Join(p.dir, "idle.jsonc")
+	if err := os.WriteFile(file, []byte(house), 0o600); err != nil {
+		return nil, err
+	}
+	return p.start("serve", "--conf", file, "--boot", "1", "--seed", "1")
+}
+
+// start starts a process on one core that prints where it listens.
+func (p *processes) start(args ...string) (*measuredProcess, error) {
+	var told ready
+	cmd, _, _, err := p.spawnWith([]string{"GOMAXPROCS=1"}, &told, args...)
+	if err != nil {
+		return nil, err
+	}
+	return &measuredProcess{cmd, told}, nil
 }
 
 type setupsCommand struct {
@@ -64,14 +205,7 @@
 			return err
 		}
 	}
-	if c.JSON {
-		line, err := json.Marshal(map[string]any{"load": s, "cores": runtime.NumCPU(), "director_cores": c.Cores, "results": []*load.Result{direct, through}})
-		if err != nil {
-			return err
-		}
-		fmt.Println(string(line))
-	}
-	return nil
+	return printJSON(c.JSON, map[string]any{"load": s, "cores": runtime.NumCPU(), "director_cores": c.Cores, "results": []*load.Result{direct, through}})
 }
 
 // measured starts a director's process on so many cores.
@@ -89,15 +223,50 @@
 	if err != nil {
 		return nil, err
 	}
-	return &measuredProcess{cmd, told.Listen}, nil
+	return &measuredProcess{cmd, told}, nil
 }
 
 type measuredProcess struct {
-	cmd     *exec.Cmd
-	address string
+	cmd  *exec.Cmd
+	told ready
+}
+
+func (m *measuredProcess) Address() string { return m.told.Listen }
+
+// RSS reads the process's resident memory, in bytes.
+func (m *measuredProcess) RSS() int64 {
+	raw, _ := os.ReadFile(fmt.Sprintf("/proc/%d/statm", m.cmd.Process.Pid))
+	if f := strings.Fields(string(raw)); len(f) > 1 {
+		pages, _ := strconv.ParseInt(f[1], 10, 64)
+		return pages * int64(os.Getpagesize())
+	}
+	return 0
 }
 
-func (m *measuredProcess) Address() string { return m.address }
+// Collect makes the process collect its garbage, so that what it holds is what it needs.
+func (m *measuredProcess) Collect() {
+	if answer, err := http.Get("http://" + m.told.Metrics + "/debug/pprof/heap?gc=1"); err == nil {
+		io.Copy(io.Discard, answer.Body)
+		answer.Body.Close()
+	}
+}
+
+// Figure reads one figure of the process's metrics page; 0 where it has none.
+func (m *measuredProcess) Figure(name string) float64 {
+	answer, err := http.Get("http://" + m.told.Metrics + "/metrics")
+	if err != nil {
+		return 0
+	}
+	defer answer.Body.Close()
+	lines := bufio.NewScanner(answer.Body)
+	for lines.Scan() {
+		if value, ok := strings.CutPrefix(lines.Text(), name+" "); ok {
+			x, _ := strconv.ParseFloat(value, 64)
+			return x
+		}
+	}
+	return 0
+}
 
 // Kill ends the director: in good order at first, so that a profile is written.
 func (m *measuredProcess) Kill() {
--- a/cmd/fordusher/serve.go
+++ b/cmd/fordusher/serve.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	httppprof "net/http/pprof"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -17,6 +18,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"fordusher/internal/conf"
@@ -64,8 +66,8 @@
 			return fmt.Errorf("metrics at %s: %w", house.Metrics, err)
 		}
 		reg := prometheus.NewRegistry()
-		reg.MustRegister(d, prometheus.NewGoCollector())
-		server := &http.Server{Handler: promhttp.HandlerFor(reg, promhttp.HandlerOpts{}), ReadHeaderTimeout: 5 * time.Second}
+		reg.MustRegister(d, collectors.NewGoCollector())
+		server := &http.Server{Handler: figures(reg), ReadHeaderTimeout: 5 * time.Second}
 		go server.Serve(ln)
 		defer server.Close()
 		told.Metrics = ln.Addr().String()
@@ -99,6 +101,14 @@
 	return nil
 }
 
+// figures serves a process's metrics, and the profiles of the standard library beside them.
+func figures(reg *prometheus.Registry) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{}))
+	mux.HandleFunc("/debug/pprof/", httppprof.Index)
+	return mux
+}
+
 type checkCommand struct {
 	File string `arg:"" help:"The director's file." type:"path"`
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -46,6 +46,7 @@
 	seen     atomic.Pointer[snapshot]
 	refused  [3]atomic.Int64 // malformed messages of players, nodes, the list
 	flooded  atomic.Int64
+	skew     atomic.Int64 // by Jump
 	late     atomic.Int64 // the loop's greatest lateness since the last look, nanoseconds
 }
 
@@ -83,6 +84,21 @@
 // Stop orders the director to end as package closing decides; Done tells when it has.
 func (d *Daemon) Stop() { d.inbox.put(item{in: director.Stop{}}) }
 
+// Attach adds a player's connection in memory; see transport.Server.Attach.
+func (d *Daemon) Attach(peer netip.AddrPort, out func(p []byte)) *transport.Conn {
+	return d.server.Attach(peer, out)
+}
+
+// Room tells how many players' connections there were at the last look, and how many of them were busy.
+func (d *Daemon) Room() (used, busy int) {
+	s := d.seen.Load()
+	return s.used, s.busy
+}
+
+// Jump lets the director's clock jump ahead, as if the process had stood still for so long: for
+// measurements.
+func (d *Daemon) Jump(by time.Duration) { d.skew.Add(int64(by)) }
+
 // Done is closed once the director has ended.
 func (d *Daemon) Done() <-chan struct{} { return d.done }
 
@@ -131,7 +147,7 @@
 	return taken
 }
 
-func (d *Daemon) now() time.Duration { return time.Since(d.began) }
+func (d *Daemon) now() time.Duration { return time.Since(d.began) + time.Duration(d.skew.Load()) }
 
 // snapEvery is how often the figures for metrics are renewed.
 const snapEvery = 200 * time.Millisecond
--- /dev/null
+++ b/internal/load/idle.go
@@ -0,0 +1,374 @@
+package load
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gobwas/ws"
+	"github.com/rs/zerolog"
+
+	"fordusher/internal/conf"
+	"fordusher/internal/daemon"
+	"fordusher/internal/director"
+	"fordusher/internal/transport"
+	"fordusher/internal/wire"
+	"fordusher/internal/witness"
+)
+
+// Idle is a load of players that are connected and say nothing.
+type Idle struct {
+	Connections int           `json:"connections"`
+	For         time.Duration `json:"for"` // how long the processor time of idleness is measured
+	Ping        time.Duration `json:"ping"`
+}
+
+// IdleResult is what idle connections cost a process.
+type IdleResult struct {
+	Name        string  `json:"name"`
+	Connections int     `json:"connections"`
+	Heap        float64 `json:"heap_bytes"`   // of Go's heap in use, each
+	Stacks      float64 `json:"stack_bytes"`  // of goroutines' stacks, each
+	RSS         float64 `json:"rss_bytes"`    // resident memory, each
+	Kernel      float64 `json:"kernel_bytes"` // socket memory, each, both ends
+	CPU         float64 `json:"cpu_ms_min"`   // processor time of one connection, ms a minute
+	Goroutines  int     `json:"goroutines"`
+}
+
+// A Watched process tells what it uses.
+type Watched interface {
+	Process
+	RSS() int64
+	// Collect makes it collect its garbage.
+	Collect()
+	// Figure reads a figure of the process's own metrics page.
+	Figure(name string) float64
+}
+
+// Run opens idle connections to a process and measures what they cost it.
+func (i Idle) Run(ctx context.Context, name string, p Watched) (*IdleResult, error) {
+	settle := func() (heap, stacks, rss, kernel float64) {
+		time.Sleep(2 * time.Second)
+		p.Collect()
+		p.Collect()
+		return p.Figure("go_memstats_heap_inuse_bytes"), p.Figure("go_memstats_stack_inuse_bytes"), float64(p.RSS()), socketMemory()
+	}
+	heap0, stacks0, rss0, kernel0 := settle()
+	h := &quiet{}
+	var mu sync.Mutex
+	var conns []*transport.Conn
+	defer func() {
+		for _, c := range conns {
+			c.Cut()
+		}
+	}()
+	var wait sync.WaitGroup
+	var failed atomic.Int64
+	var first atomic.Value
+	for range 32 {
+		wait.Go(func() {
+			for range i.Connections / 32 {
+				if ctx.Err() != nil {
+					return
+				}
+				c, err := transport.Dial(p.Address(), wire.SessionProtocol, 20*time.Second, bounds, h, nil)
+				if err != nil {
+					failed.Add(1)
+					first.CompareAndSwap(nil, err.Error())
+					continue
+				}
+				mu.Lock()
+				conns = append(conns, c)
+				mu.Unlock()
+			}
+		})
+	}
+	wait.Wait()
+	if n := failed.Load(); n > 0 {
+		return nil, fmt.Errorf("%s: %d of %d connections failed: %v", name, n, i.Connections, first.Load())
+	}
+	n := float64(len(conns))
+	heap, stacks, rss, kernel := settle()
+	cpu := p.CPU()
+	time.Sleep(i.For)
+	cpu = p.CPU() - cpu
+	r := &IdleResult{Name: name, Connections: len(conns), Heap: (heap - heap0) / n, Stacks: (stacks - stacks0) / n, RSS: (rss - rss0) / n,
+		Kernel: (kernel - kernel0) / n, CPU: float64(cpu.Microseconds()) / 1000 / n * float64(time.Minute) / float64(i.For),
+		Goroutines: int(p.Figure("go_goroutines"))}
+	if lost := h.closed.Load(); lost > 0 {
+		return r, fmt.Errorf("%s: %d connections were lost", name, lost)
+	}
+	return r, nil
+}
+
+type quiet struct{ closed atomic.Int64 }
+
+func (q *quiet) Opened(*transport.Conn)                  {}
+func (q *quiet) Message(*transport.Conn, []byte)         {}
+func (q *quiet) Closed(*transport.Conn, error, []uint64) { q.closed.Add(1) }
+
+// socketMemory is what the kernel says that TCP sockets hold, in bytes.
+func socketMemory() float64 {
+	raw, err := os.ReadFile("/proc/net/sockstat")
+	if err != nil {
+		return 0
+	}
+	for _, line := range strings.Split(string(raw), "\n") {
+		if f := strings.Fields(line); len(f) > 2 && f[0] == "TCP:" {
+			for j := 1; j+1 < len(f); j += 2 {
+				if f[j] == "mem" {
+					pages, _ := strconv.ParseFloat(f[j+1], 64)
+					return pages * float64(os.Getpagesize())
+				}
+			}
+		}
+	}
+	return 0
+}
+
+// IdleTable writes results side by side.
+func IdleTable(results ...*IdleResult) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%-24s %12s %9s %9s %9s %9s %12s %11s\n", "bytes a connection", "connections", "heap", "stacks", "RSS", "kernel", "cpu ms/min", "goroutines")
+	for _, r := range results {
+		fmt.Fprintf(&b, "%-24s %12d %9.0f %9.0f %9.0f %9.0f %12.3f %11d\n", r.Name, r.Connections, r.Heap, r.Stacks, r.RSS, r.Kernel, r.CPU, r.Goroutines)
+	}
+	return b.String()
+}
+
+// Plain is the baseline: the same door written with a goroutine and a timer for each connection, as the
+// standard library suggests. It answers handshakes, pings every so often, and reads until it is closed.
+func Plain(ctx context.Context, ln net.Listener, ping time.Duration) error {
+	server := &http.Server{ReadHeaderTimeout: 5 * time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		up := ws.HTTPUpgrader{Protocol: func(p string) bool { return p == wire.SessionProtocol }}
+		conn, rw, _, err := up.Upgrade(r, w)
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		var timer *time.Timer
+		var mu sync.Mutex
+		timer = time.AfterFunc(ping, func() {
+			mu.Lock()
+			defer mu.Unlock()
+			ws.WriteFrame(conn, ws.NewPingFrame(nil))
+			timer.Reset(ping)
+		})
+		defer timer.Stop()
+		read(rw)
+	})}
+	go func() {
+		<-ctx.Done()
+		server.Close()
+	}()
+	if err := server.Serve(ln); err != http.ErrServerClosed {
+		return err
+	}
+	return nil
+}
+
+func read(r *bufio.ReadWriter) {
+	for {
+		h, err := ws.ReadHeader(r)
+		if err != nil {
+			return
+		}
+		if _, err := io.CopyN(io.Discard, r, h.Length); err != nil || h.OpCode == ws.OpClose {
+			return
+		}
+	}
+}
+
+// Million is a director with idle connections in memory, below the same connection code, while set-ups go
+// on over sockets and drains come in.
+type Million struct {
+	Connections int           `json:"connections"`
+	Ping        time.Duration `json:"ping"`
+	Rate        float64       `json:"rate"` // set-ups a second
+	For         time.Duration `json:"for"`
+	Nodes       int           `json:"nodes"`
+}
+
+// MillionResult is how that went.
+type MillionResult struct {
+	Million
+	Bytes     float64 `json:"bytes"`        // of Go's memory for each connection, all in
+	Record    float64 `json:"record_bytes"` // of these, the loop's and the limits' record with its timer
+	Before    *Result `json:"before"`       // set-ups without the idle connections
+	Among     *Result `json:"among"`        // set-ups among them, signs of life going on
+	Together  *Result `json:"together"`     // set-ups while all timers are due at once
+	Drains    int     `json:"drains"`
+	DrainMost float64 `json:"drain_most_ms"` // longest from word of a drain until the last set-up to that node
+	Pings     int64   `json:"pings"`
+	Lost      int64   `json:"lost"`
+}
+
+const handshake = "GET / HTTP/1.1\r\nHost: d\r\nUpgrade: websocket\r\nConnection: Upgrade\r\nSec-WebSocket-Version: 13\r\n" +
+	"Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\nSec-WebSocket-Protocol: " + wire.SessionProtocol + "\r\n\r\n"
+
+// Run measures; the program should run on so many cores as are to be told of.
+func (x Million) Run(ctx context.Context, say func(format string, args ...any)) (*MillionResult, error) {
+	s := Setups{Rate: x.Rate, Playing: int(x.Rate), For: x.For, Warm: time.Second, Nodes: x.Nodes, Racks: max(1, x.Nodes/7), Titles: 50,
+		Connections: 50, Seed: 1}
+	record := &witness.Recorder{}
+	st, err := s.openWith(record)
+	if err != nil {
+		return nil, err
+	}
+	defer st.close()
+	text, err := st.house()
+	if err != nil {
+		return nil, err
+	}
+	house, err := conf.Read("load.jsonc", text)
+	if err != nil {
+		return nil, err
+	}
+	house.Room.Connections, house.Room.Handshakes, house.Room.Ping = x.Connections*2, x.Connections, x.Ping
+	d, err := daemon.Start(house, "1", 1, house.Module(1), zerolog.Nop())
+	if err != nil {
+		return nil, err
+	}
+	defer d.Kill()
+	time.Sleep(1500 * time.Millisecond)
+	r := &MillionResult{Million: x, Record: x.record(house)}
+	say("%.0f bytes a record with its timer", r.Record)
+	if r.Before, err = s.against(ctx, st, d.Address(), "before"); err != nil {
+		return nil, err
+	}
+	before := inUse()
+	var pings, lost atomic.Int64
+	conns := make([]*transport.Conn, x.Connections)
+	for i := range conns {
+		from := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(1 + i>>16), byte(i >> 8), byte(i)}), 1)
+		answered := false
+		var c *transport.Conn
+		c = d.Attach(from, func(p []byte) {
+			switch {
+			case !answered:
+				answered = true
+			case len(p) >= 2 && p[0] == 0x89: // a ping: answer it, as a player's machine does
+				pings.Add(1)
+				c.Feed(pong)
+			default:
+				lost.Add(1)
+			}
+		})
+		conns[i] = c
+		c.Feed([]byte(handshake))
+		if i%100_000 == 99_999 {
+			say("%d connections", i+1)
+		}
+	}
+	for end := time.Now().Add(time.Minute); ; time.Sleep(10 * time.Millisecond) {
+		if used, _ := d.Room(); used >= x.Connections || time.Now().After(end) {
+			break
+		}
+	}
+	r.Bytes = (inUse() - before) / float64(x.Connections)
+	say("%.0f bytes a connection", r.Bytes)
+	if r.Among, err = s.against(ctx, st, d.Address(), "among"); err != nil {
+		return nil, err
+	}
+	// All timers due at once: the clock jumps by a span of signs of life, in the middle of the load; a drain
+	// comes every so often.
+	go func() {
+		time.Sleep(s.Warm + x.For/4)
+		d.Jump(x.Ping)
+	}()
+	stop := make(chan bool)
+	drained := make(chan int)
+	go func() {
+		n := 0
+		for {
+			select {
+			case <-stop:
+				drained <- n
+				return
+			case <-time.After(200 * time.Millisecond):
+			}
+			i := n % len(st.machines)
+			n++
+			e := wire.Entry{Node: st.machines[i].Name, Address: st.host.Address(st.machines[i].Name), Kind: "box", Weight: 1, Cell: i, State: wire.Draining}
+			e.Start, _ = st.host.Start(e.Node)
+			st.list.Set(e, 0, 0)
+			e.State = wire.Up
+			st.list.Set(e, 0, 700*time.Millisecond)
+		}
+	}()
+	r.Together, err = s.against(ctx, st, d.Address(), "together")
+	close(stop)
+	r.Drains = <-drained
+	if err != nil {
+		return nil, err
+	}
+	r.DrainMost = drainMost(record.Records())
+	r.Pings, r.Lost = pings.Load(), lost.Load()
+	runtime.KeepAlive(conns)
+	return r, nil
+}
+
+// record measures what the loop and the limits hold for a connection, its timer in it, without transport.
+func (x Million) record(house *conf.House) float64 {
+	before := inUse()
+	l := house.Loop("1", 1, house.Module(1))
+	for i := range x.Connections {
+		at := netip.AddrFrom4([4]byte{127, byte(1 + i>>16), byte(i >> 8), byte(i)})
+		l.Step(time.Duration(i), director.PlayerKnocked{Conn: uint64(i + 1), Address: at})
+		l.Step(time.Duration(i), director.PlayerOpened{Conn: uint64(i + 1)})
+	}
+	bytes := (inUse() - before) / float64(x.Connections)
+	runtime.KeepAlive(l)
+	return bytes
+}
+
+var pong = ws.MustCompileFrame(ws.MaskFrame(ws.NewPongFrame(nil)))
+
+// drainMost is the longest time from word of a drain, as the director acknowledged it, until a set-up that
+// still came to the node.
+func drainMost(records []witness.Record) float64 {
+	told := map[string]time.Duration{}
+	most := time.Duration(0)
+	for _, r := range records {
+		switch r.What {
+		case witness.Told:
+			if r.State == wire.Up {
+				delete(told, r.Node)
+			} else if _, known := told[r.Node]; !known {
+				told[r.Node] = r.At
+			}
+		case wire.Setup:
+			if at, ok := told[r.Node]; ok {
+				most = max(most, r.At-at)
+			}
+		}
+	}
+	return float64(most.Microseconds()) / 1000
+}
+
+// inUse is what Go holds after a collection.
+func inUse() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapInuse + m.StackInuse)
+}
+
+// Table writes it.
+func (r *MillionResult) Table() string {
+	return fmt.Sprintf("%d idle connections: %.0f bytes each in all, %.2f GiB; record with its timer %.0f bytes\n", r.Connections, r.Bytes,
+		r.Bytes*float64(r.Connections)/(1<<30), r.Record) + Table(r.Before, r.Among, r.Together) +
+		fmt.Sprintf("%d drains, longest until the last set-up %.1f ms; %d signs of life asked for, %d connections lost\n", r.Drains, r.DrainMost, r.Pings, r.Lost)
+}
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -76,7 +76,10 @@
 	titles   []wire.Title
 }
 
-func (s Setups) open() (*site, error) {
+func (s Setups) open() (*site, error) { return s.openWith(witness.Nobody) }
+
+// openWith starts the stand-ins with a recorder.
+func (s Setups) openWith(record *witness.Recorder) (*site, error) {
 	st := &site{s: s}
 	r := rand.New(rand.NewPCG(s.Seed, 3))
 	const middle = 703.0
@@ -94,7 +97,7 @@
 	var err error
 	st.host, err = node.Open(node.NewFarm(s.Seed, node.Site{Uplinks: uplinks, Warmup: time.Second, ColdFrom: 0.5, Multiple: 4,
 		TipAfter: time.Second, Late: 900 * time.Millisecond, Every: 3750 * time.Millisecond, Refresh: 300 * time.Millisecond},
-		st.machines), witness.Nobody, nil)
+		st.machines), record, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -106,7 +109,7 @@
 	for i := range s.Titles {
 		st.titles = append(st.titles, wire.Title{Title: "title-" + strconv.Itoa(i), Base: r.IntN(s.Nodes), Copies: min(6, s.Nodes)})
 	}
-	st.list, err = list.Open(witness.Nobody, entries, st.titles)
+	st.list, err = list.Open(record, entries, st.titles)
 	if err != nil {
 		st.host.Close()
 		return nil, err
@@ -263,11 +266,30 @@
 	}
 	defer p.Kill()
 	time.Sleep(1500 * time.Millisecond) // connections to all nodes, and past the caution of a new director
+	var cpu, from time.Duration
+	r, err := s.measure(ctx, st, p.Address(), "through a director", func() { from, cpu = witness.Clock(), p.CPU() })
+	if err != nil {
+		return nil, err
+	}
+	used, span := p.CPU()-cpu, witness.Clock()-from
+	if span > 0 {
+		r.CPU = used.Seconds() / span.Seconds()
+	}
+	return r, nil
+}
+
+// against measures players that ask a director which runs already.
+func (s Setups) against(ctx context.Context, st *site, address, name string) (*Result, error) {
+	return s.measure(ctx, st, address, name, func() {})
+}
+
+// measure puts the load on a director; begin is called when what is due begins to count.
+func (s Setups) measure(ctx context.Context, st *site, address, name string, begin func()) (*Result, error) {
 	m := newMeter(0)
 	h := &through{m: m}
 	var conns []*transport.Conn
 	for range s.Connections {
-		c, err := transport.Dial(p.Address(), wire.SessionProtocol, 5*time.Second, bounds, h, nil)
+		c, err := transport.Dial(address, wire.SessionProtocol, 5*time.Second, bounds, h, nil)
 		if err != nil {
 			return nil, err
 		}
@@ -277,23 +299,18 @@
 	began := witness.Clock()
 	m.from = began + s.Warm
 	length := s.length()
-	var cpu time.Duration
-	var from time.Duration
+	counts := false
 	due := s.schedule(ctx, began, func(n int, due time.Duration) {
-		if from == 0 && due >= began+s.Warm {
-			from, cpu = witness.Clock(), p.CPU()
+		if !counts && due >= m.from {
+			counts = true
+			begin()
 		}
 		id := strconv.FormatInt(int64(due), 36)
 		conns[n%len(conns)].Send(wire.Encode(wire.Session{Type: wire.Want, ID: id, Tariff: "clip", Title: st.titles[n%len(st.titles)].Title,
 			Key: "k" + id, Wait: 3000, Length: length.Milliseconds()}), 0)
 	})
-	used, span := p.CPU()-cpu, witness.Clock()-from
 	time.Sleep(500 * time.Millisecond)
-	r := m.result("through a director", due)
-	if span > 0 {
-		r.CPU = used.Seconds() / span.Seconds()
-	}
-	return r, nil
+	return m.result(name, due), nil
 }
 
 type through struct{ m *meter }
--- a/internal/transport/complaints.go
+++ b/internal/transport/complaints.go
@@ -19,5 +19,14 @@
 	return len(line), nil
 }
 
+// readBuffer is what netpoll keeps for each connection, idle or not, to read into; it grows where much
+// comes at once.
+const readBuffer = 256
+
 // netpoll asks to be set up before any of its pollers runs, so it is done here.
-func init() { netpoll.SetLoggerOutput(counter{}) }
+func init() {
+	netpoll.LinkBufferCap = readBuffer
+	if err := netpoll.Configure(netpoll.Config{BufferSize: readBuffer, LoggerOutput: counter{}}); err != nil {
+		panic(err) // nothing in it can be refused but a number of pollers
+	}
+}
--- a/limits/limits.go
+++ b/limits/limits.go
@@ -122,6 +122,7 @@
 	next, prev int32 // among the idle, the longest idle first
 	address    int32
 	stage      stage
+	asked      uint8 // signs of life asked for since anything was heard
 	heard      time.Duration
 	since      time.Duration // idle since
 }
@@ -273,10 +274,12 @@
 			l.rest(i)
 			// The first sign of life is asked for at some moment of the span, so that those who came
 			// together are not asked together.
-			l.wheel.Move(c.timer, l.now+time.Duration(l.chance.Int64N(int64(l.room.Ping)))+1)
+			l.wheel.Move(c.timer, together(l.now+time.Duration(l.chance.Int64N(int64(l.room.Ping)))+1))
 		}
 	case Heard:
-		c.heard = max(c.heard, l.now-e.Ago)
+		if at := l.now - e.Ago; at > c.heard {
+			c.heard, c.asked = at, 0
+		}
 	case Busy:
 		if c.stage == idle {
 			l.unlink(i)
@@ -363,21 +366,31 @@
 	case c.stage == shaking:
 		l.let(i, 0, "handshake took too long", 0)
 	case c.stage == leaving || c.stage == gone:
-	case l.now-c.heard > missed*l.room.Ping:
+	case c.asked >= missed:
+		// Counted by what was asked, not by time: a director that is late itself must not hold it against
+		// its players.
 		l.let(i, 1008, "no sign of life", 0)
 	default:
 		if l.now-c.heard >= l.room.Ping/2 { // who spoke just now need not be asked
 			l.plan.Ping = append(l.plan.Ping, int(i))
+			c.asked++
 		}
-		c.timer = l.wheel.Add(l.now+l.room.Ping, id)
+		c.timer = l.wheel.Add(together(l.now+l.room.Ping), id)
 	}
 }
 
+// pingEvery is the time between batches of signs of life: asked for one by one, each would wake the
+// process, and its answer again, which costs far more than the asking.
+const pingEvery = 100 * time.Millisecond
+
+// together puts a time off until the next batch.
+func together(at time.Duration) time.Duration { return (at + pingEvery - 1) / pingEvery * pingEvery }
+
 // forgive is for a stall of the process: what nobody could have heard is held against nobody.
 func (l *Limits) forgive() {
 	for i := range l.conns {
 		if c := &l.conns[i]; c.stage != gone {
-			c.heard = l.now
+			c.heard, c.asked = l.now, 0
 		}
 	}
 }
--- a/limits/limits_test.go
+++ b/limits/limits_test.go
@@ -51,6 +51,9 @@
 		if c.stage == busy && d.now-c.heard <= missed*room.Ping {
 			d.Fatalf("%d is busy and let go", x.Conn)
 		}
+		if x.Code == 1008 && d.now-c.heard < 2*room.Ping {
+			d.Fatalf("%d is given up %v after it was heard", x.Conn, d.now-c.heard)
+		}
 		if x.Code == 1013 {
 			if x.Retry <= 0 || x.Retry > room.Retry {
 				d.Fatal("no time to come back", x)
