One slice of idle work a tick, not one an input

Change: a slice runs on ticks only, 250 timers each, with a turn for readers between; who need not be asked for a sign of life is asked at a drawn time next.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"runtime"
 	"runtime/metrics"
 	"sync"
 	"sync/atomic"
@@ -85,8 +86,8 @@
 func (d *Daemon) Stop() { d.inbox.put(item{in: director.Stop{}}) }
 
 // Attach adds a player's connection in memory; see transport.Server.Attach.
-func (d *Daemon) Attach(peer netip.AddrPort, out func(p []byte)) *transport.Conn {
-	return d.server.Attach(peer, out)
+func (d *Daemon) Attach(n *transport.Network, peer netip.AddrPort, out func(p []byte)) *transport.Conn {
+	return d.server.Attach(n, peer, out)
 }
 
 // Room tells how many players' connections there were at the last look, and how many of them were busy.
@@ -168,6 +169,7 @@
 		now := d.now()
 		if next := d.loop.Next(); next <= now {
 			d.late.Store(max(d.late.Load(), int64(now-next)))
+			runtime.Gosched() // what is due may come in many slices; whoever reads from peers gets a turn between them
 			ended = d.carryOut(d.loop.Step(now, director.Tick{})) || ended
 		}
 		if now >= snapped+snapEvery || ended {
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -358,9 +358,11 @@
 	case Tick:
 	}
 	l.due()
-	// The work on idle connections comes in slices, one a step: what else is in the inbox goes first.
-	if at, ok := l.limits.Next(); !l.ended && (l.more || ok && at <= l.now) {
-		l.limit(limits.Event{What: limits.Ring})
+	// The work on idle connections comes in slices, one a tick: all that is in the inbox goes first.
+	if _, tick := in.(Tick); tick && !l.ended {
+		if at, ok := l.limits.Next(); l.more || ok && at <= l.now {
+			l.limit(limits.Event{What: limits.Ring})
+		}
 	}
 	return l.out
 }
--- a/internal/load/idle.go
+++ b/internal/load/idle.go
@@ -250,11 +250,14 @@
 	before := inUse()
 	var pings, lost atomic.Int64
 	conns := make([]*transport.Conn, x.Connections)
+	over := make(chan struct{})
+	defer close(over)
+	network := transport.NewNetwork(over)
 	for i := range conns {
 		from := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(1 + i>>16), byte(i >> 8), byte(i)}), 1)
 		answered := false
 		var c *transport.Conn
-		c = d.Attach(from, func(p []byte) {
+		c = d.Attach(network, from, func(p []byte) {
 			switch {
 			case !answered:
 				answered = true
--- a/internal/transport/memory.go
+++ b/internal/transport/memory.go
@@ -3,15 +3,65 @@
 import (
 	"net"
 	"net/netip"
+	"sync"
 )
 
-// memory is a carrier without sockets, for loads that no machine has descriptors for. Everything above it
-// is the code that sockets have.
+// Network carries connections in memory, for loads that no machine has descriptors for. Everything above
+// the carrier is the code that sockets have. One goroutine delivers what servers write, in order.
+type Network struct {
+	mu      sync.Mutex
+	waiting []parcel
+	wake    chan struct{}
+}
+
+type parcel struct {
+	to   *memory
+	body []byte
+}
+
+// NewNetwork starts a network; it delivers until stop is closed.
+func NewNetwork(stop <-chan struct{}) *Network {
+	n := &Network{wake: make(chan struct{}, 1)}
+	go func() {
+		var batch []parcel
+		for {
+			n.mu.Lock()
+			batch, n.waiting = n.waiting, batch[:0]
+			n.mu.Unlock()
+			for i, p := range batch {
+				p.to.out(p.body)
+				batch[i] = parcel{}
+			}
+			if len(batch) > 0 {
+				continue
+			}
+			select {
+			case <-stop:
+				return
+			case <-n.wake:
+			}
+		}
+	}()
+	return n
+}
+
+func (n *Network) carry(to *memory, body []byte) {
+	n.mu.Lock()
+	n.waiting = append(n.waiting, parcel{to, body})
+	n.mu.Unlock()
+	select {
+	case n.wake <- struct{}{}:
+	default:
+	}
+}
+
+// memory is a carrier without sockets.
 type memory struct {
-	conn *Conn
-	peer netip.AddrPort
-	out  func(p []byte)
-	next []byte
+	conn    *Conn
+	network *Network
+	peer    netip.AddrPort
+	out     func(p []byte)
+	next    []byte
 }
 
 func (m *memory) RemoteAddr() net.Addr { return net.TCPAddrFromAddrPort(m.peer) }
@@ -24,18 +74,18 @@
 }
 
 func (m *memory) flush() error {
-	m.out(m.next)
+	m.network.carry(m, m.next)
 	m.next = nil
 	return nil
 }
 
 func (m *memory) Close() error { return m.conn.closed(nil) }
 
-// Attach adds a connection in memory, as from an address; what the server writes goes to out, from any
-// goroutine.
-func (s *Server) Attach(peer netip.AddrPort, out func(p []byte)) *Conn {
+// Attach adds a connection in memory, as from an address; what the server writes goes to out, from the
+// network's goroutine.
+func (s *Server) Attach(n *Network, peer netip.AddrPort, out func(p []byte)) *Conn {
 	c := &Conn{handler: s.handler, bounds: s.bounds, server: s, fd: -1}
-	c.np = &memory{conn: c, peer: peer, out: out}
+	c.np = &memory{conn: c, network: n, peer: peer, out: out}
 	s.pending.Add(1)
 	s.mu.Lock()
 	s.conns[c] = true
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -229,6 +229,11 @@
 		c.mu.Unlock()
 		return false
 	}
+	if m, ok := c.np.(*memory); ok && !last && c.why == nil {
+		c.mu.Unlock()
+		m.network.carry(m, f.body)
+		return true
+	}
 	if !last && !c.writing && c.fd >= 0 {
 		n, err := unix.Write(c.fd, f.body)
 		switch {
--- a/limits/limits.go
+++ b/limits/limits.go
@@ -161,8 +161,8 @@
 
 const (
 	none = int32(-1)
-	// expireSteps bounds one call's work on timers: about a millisecond.
-	expireSteps = 4000
+	// expireSteps bounds one call's work on timers: each may be a message to a peer, some 5 to 10 us.
+	expireSteps = 250
 )
 
 // New starts with nobody connected.
@@ -370,11 +370,13 @@
 		// Counted by what was asked, not by time: a director that is late itself must not hold it against
 		// its players.
 		l.let(i, 1008, "no sign of life", 0)
+	case l.now-c.heard < l.room.Ping/2:
+		// Who spoke just now need not be asked; the next time is drawn, so that those who were heard
+		// together, or forgiven together, are not asked together.
+		c.timer = l.wheel.Add(together(l.now+l.room.Ping/2+time.Duration(l.chance.Int64N(int64(l.room.Ping/2)+1))), id)
 	default:
-		if l.now-c.heard >= l.room.Ping/2 { // who spoke just now need not be asked
-			l.plan.Ping = append(l.plan.Ping, int(i))
-			c.asked++
-		}
+		l.plan.Ping = append(l.plan.Ping, int(i))
+		c.asked++
 		c.timer = l.wheel.Add(together(l.now+l.room.Ping), id)
 	}
 }
