Limits over sockets: no room, idle let go, slow handshakes, stalls, descriptors running out

Need: the hard cases of idle connections have to be caused over real sockets. Change: tests of 503 with Retry-After, 1013 for the longest idle, handshakes that never come whole, never-readers, a stall of five seconds, and a process of 64 descriptors.

--- a/cmd/fordusher/main_test.go
+++ b/cmd/fordusher/main_test.go
@@ -165,3 +165,79 @@
 		t.Fatal(code, errs)
 	}
 }
+
+// Descriptors run out while players connect: who is connected is served as before, and once some have gone
+// others get in. Accepting pauses meanwhile instead of spinning.
+func TestDescriptorsRunOut(t *testing.T) {
+	source, err := list.Open(witness.Nobody, nil, []wire.Title{{Title: "t", Copies: 1}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer source.Close()
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	conf := file(t, "d.jsonc", strings.Replace(house, "127.0.0.1:1", source.Address(), 1))
+	cmd := exec.Command("sh", "-c", `ulimit -n 64 && exec "$0" serve --conf "$1"`, self, conf)
+	cmd.Env = append(os.Environ(), "FORDUSHER_MAIN=1")
+	pipe, err := cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer cmd.Wait()
+	defer cmd.Process.Kill()
+	line, err := bufio.NewReader(pipe).ReadBytes('\n')
+	var told ready
+	if err != nil || json.Unmarshal(line, &told) != nil {
+		t.Fatal(string(line), err)
+	}
+	bounds := transport.Bounds{Message: 4096, Queue: 4096, Write: time.Second}
+	join := func(within time.Duration) (*transport.Conn, *printer, error) {
+		p := &printer{in: make(chan wire.Session, 10), closed: make(chan error, 1)}
+		c, err := transport.Dial(told.Listen, wire.SessionProtocol, within, bounds, p, nil)
+		return c, p, err
+	}
+	var conns []*transport.Conn
+	var first *printer
+	for range 100 {
+		c, p, err := join(300 * time.Millisecond)
+		if err != nil {
+			break
+		}
+		if first == nil {
+			first = p
+		}
+		conns = append(conns, c)
+	}
+	if len(conns) < 20 || len(conns) > 64 {
+		t.Fatal(len(conns), "connected")
+	}
+	conns[0].Send(wire.Encode(wire.Session{Type: wire.Want, ID: "1", Tariff: "clip", Title: "none", Key: "k", Wait: 1500}), 0)
+	select {
+	case m := <-first.in:
+		if m.Type != wire.Nack {
+			t.Fatal(m)
+		}
+	case <-time.After(10 * time.Second):
+		t.Fatal("who is connected is not answered")
+	}
+	used := (&measuredProcess{cmd, told}).CPU()
+	time.Sleep(time.Second)
+	if spent := (&measuredProcess{cmd, told}).CPU() - used; spent > 700*time.Millisecond {
+		t.Fatal("spinning: ", spent, " in a second")
+	}
+	for _, c := range conns[10:] {
+		c.Cut()
+	}
+	for end := time.Now().Add(15 * time.Second); ; {
+		if _, _, err := join(time.Second); err == nil {
+			break
+		} else if time.Now().After(end) {
+			t.Fatal("nobody gets in again: ", err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/daemon/limits_test.go
@@ -0,0 +1,179 @@
+package daemon
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"fordusher/internal/transport"
+	"fordusher/internal/wire"
+)
+
+const shake = "GET / HTTP/1.1\r\nHost: d\r\nUpgrade: websocket\r\nConnection: Upgrade\r\nSec-WebSocket-Version: 13\r\n" +
+	"Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\nSec-WebSocket-Protocol: " + wire.SessionProtocol + "\r\n\r\n"
+
+// knock tries a handshake and returns the HTTP answer's status and its Retry-After.
+func knock(t *testing.T, address string) (status, retry string) {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(10 * time.Second))
+	io.WriteString(c, shake)
+	buf := make([]byte, 1024)
+	n, _ := c.Read(buf)
+	head := string(buf[:n])
+	for _, line := range strings.Split(head, "\r\n") {
+		if v, ok := strings.CutPrefix(line, "Retry-After: "); ok {
+			retry = v
+		}
+	}
+	status, _, _ = strings.Cut(strings.TrimPrefix(head, "HTTP/1.1 "), " ")
+	return status, retry
+}
+
+// No room: newcomers are answered 503 with a time to come back, who plays goes on, and once somebody has
+// left there is room again.
+func TestNoRoomIsSaidAtTheHandshake(t *testing.T) {
+	p := open(t, 1, `"limits": {`, `"limits": {"connections": 20, "handshakes": 20, `)
+	var conns []*transport.Conn
+	for i := range 19 { // 95%: full
+		c, in := dial(t, p.d.Address())
+		c.Send(want(fmt.Sprint(i), "clip"), 0)
+		if m := in.answer(t); m.Type != wire.Plays {
+			t.Fatal(m)
+		}
+		conns = append(conns, c)
+	}
+	if status, retry := knock(t, p.d.Address()); status != "503" || retry == "" {
+		t.Fatal(status, retry)
+	}
+	if _, busy := p.d.Room(); busy != 19 {
+		within(t, "nobody who plays is let go", func() bool { _, busy := p.d.Room(); return busy == 19 })
+	}
+	for _, c := range conns[:10] {
+		c.Close(1000, "")
+	}
+	within(t, "room again", func() bool {
+		status, _ := knock(t, p.d.Address())
+		return status == "101"
+	})
+	p.d.Stop()
+	within(t, "nobody is let in by a director that closes", func() bool {
+		c, err := net.Dial("tcp", p.d.Address())
+		if err != nil {
+			return true
+		}
+		c.Close()
+		return false
+	})
+}
+
+// Idle players are let go, longest idle first, with 1013 and a time to come back; the one with a session stays.
+func TestIdleGoFirstAndAreToldWhenToComeBack(t *testing.T) {
+	p := open(t, 1, `"limits": {`, `"limits": {"connections": 20, "handshakes": 20, `)
+	busy, playing := dial(t, p.d.Address())
+	busy.Send(want("1", "clip"), 0)
+	if m := playing.answer(t); m.Type != wire.Plays {
+		t.Fatal(m)
+	}
+	var idle []*client
+	for range 18 {
+		_, in := dial(t, p.d.Address())
+		idle = append(idle, in)
+	}
+	if why := idle[0].end(t).Error(); !strings.Contains(why, "1013 retry-ms=") {
+		t.Fatal(why)
+	}
+	select {
+	case why := <-playing.closed:
+		t.Fatal("the one that plays was let go: ", why)
+	case why := <-idle[17].closed:
+		t.Fatal("the last to come was let go first: ", why)
+	case <-time.After(100 * ms):
+	}
+}
+
+// Handshakes that never come whole hold no more than their bound and are cut off; others get in meanwhile
+// or are reset at once, and connect once the slow ones are gone.
+func TestSlowHandshakesAreBounded(t *testing.T) {
+	p := open(t, 1, `"limits": {`, `"limits": {"connections": 1000, "handshakes": 16, "players": {"handshake": "300ms"}, `)
+	for range 40 {
+		c, err := net.Dial("tcp", p.d.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		io.WriteString(c, "GET / HT")
+	}
+	within(t, "a player gets in", func() bool {
+		c, err := transport.Dial(p.d.Address(), wire.SessionProtocol, 500*ms, transport.Bounds{Message: 4096, Queue: 4096},
+			&client{make(chan string, 10), make(chan error, 1)}, nil)
+		if err == nil {
+			c.Cut()
+		}
+		return err == nil
+	})
+}
+
+// Players that connect and never read, while others are served as ever.
+func TestNeverReadersCostOthersNothing(t *testing.T) {
+	p := open(t, 2)
+	for range 300 {
+		c, err := net.Dial("tcp", p.d.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		io.WriteString(c, shake)
+	}
+	for i := range 50 {
+		c, in := dial(t, p.d.Address())
+		c.Send(want(fmt.Sprint(i), "clip"), 0)
+		if m := in.answer(t); m.Type != wire.Plays {
+			t.Fatal(i, m)
+		}
+	}
+}
+
+// The process stood still for longer than three signs of life: nobody is closed for it.
+func TestStallClosesNobody(t *testing.T) {
+	p := open(t, 1, `"ping": "100ms"`, `"ping": "100ms", "ping_players": "200ms"`)
+	over := make(chan struct{})
+	t.Cleanup(func() { close(over) })
+	network := transport.NewNetwork(over)
+	gone := make(chan string, 1000)
+	for i := range 500 {
+		from := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, byte(i >> 8), byte(i)}), 1)
+		first := true
+		var c *transport.Conn
+		c = p.d.Attach(network, from, func(b []byte) {
+			switch {
+			case first:
+				first = false
+			case b[0] == 0x89:
+				c.Feed([]byte{0x8a, 0x80, 0, 0, 0, 0})
+			default:
+				gone <- string(b)
+			}
+		})
+		c.Feed([]byte(shake))
+	}
+	within(t, "all are in", func() bool { used, _ := p.d.Room(); return used >= 500 })
+	p.d.Jump(5 * time.Second)
+	time.Sleep(1500 * ms)
+	select {
+	case b := <-gone:
+		t.Fatalf("closed: %q", b)
+	default:
+	}
+	if used, _ := p.d.Room(); used < 500 {
+		t.Fatal(used)
+	}
+}
