A request that crosses a close for room is not taken; ping floods

Need: a player told to go with 1013 may ask in the same instant; nothing could be told to it any more. Change: what comes on a connection that was told to go is not taken, the close is its answer, and the witness reads it so; tests of the crossing and of a flood of pings.

--- a/internal/daemon/limits_test.go
+++ b/internal/daemon/limits_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -177,3 +178,37 @@
 		t.Fatal(used)
 	}
 }
+
+// A player that floods pings is worked off or cut off; others are answered meanwhile.
+func TestFloodOfPingsDisturbsNobody(t *testing.T) {
+	p := open(t, 1)
+	c, err := net.Dial("tcp", p.d.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	io.WriteString(c, shake)
+	stop := make(chan bool)
+	defer close(stop)
+	go func() {
+		pings := bytes.Repeat([]byte{0x89, 0x80, 0, 0, 0, 0}, 1000)
+		for range 2000 { // bounded: twelve megabytes at most
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			c.SetWriteDeadline(time.Now().Add(time.Second))
+			if _, err := c.Write(pings); err != nil {
+				return
+			}
+		}
+	}()
+	for i := range 20 {
+		o, in := dial(t, p.d.Address())
+		o.Send(want(fmt.Sprint(i), "clip"), 0)
+		if m := in.answer(t); m.Type != wire.Plays {
+			t.Fatal(i, m)
+		}
+	}
+}
--- a/internal/director/account.go
+++ b/internal/director/account.go
@@ -16,6 +16,7 @@
 	ended    []string            // ids of requests that ended, oldest first
 	live     int32
 	seat     int32 // its small index, for the limits
+	leaving  bool  // it was told to go: what it asks from now on is not taken
 }
 
 // remembered is how many ended requests of a connection can still be answered as before.
@@ -155,6 +156,9 @@
 		if x.Retry > 0 {
 			why = fmt.Sprintf("retry-ms=%d %s", x.Retry.Milliseconds(), why)
 		}
+		if c := l.conns[l.seats[x.Conn]]; c != nil {
+			c.leaving = true
+		}
 		l.do(ClosePlayer{l.seats[x.Conn], x.Code, why})
 	}
 	if plan.Log != "" {
@@ -179,6 +183,10 @@
 	if c == nil {
 		return // it closed a moment ago
 	}
+	if c.leaving { // this crosses the word to go, which says when to come back
+		l.counts.Stray++
+		return
+	}
 	l.limit(limits.Event{What: limits.Heard, Conn: int(c.seat)})
 	m := e.Message
 	r := c.requests[m.ID]
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -518,3 +518,29 @@
 		}
 	}
 }
+
+// A request that crosses the word to go is not taken: the close is its answer, and no session is set up
+// for who can't be told of it.
+func TestRequestCrossesBeingLetGo(t *testing.T) {
+	s := newStage(t, 3)
+	for i := range 960 { // full: the idle have to go
+		s.enter(uint64(100 + i))
+	}
+	s.pass(2 * time.Second)
+	var let []uint64
+	for _, o := range s.all {
+		if c, ok := o.(ClosePlayer); ok && c.Code == 1013 {
+			let = append(let, c.Conn)
+		}
+	}
+	if len(let) == 0 || let[0] != 1 { // the first to come has been idle longest
+		t.Fatal(len(let))
+	}
+	s.forget()
+	s.want("1", "exam")
+	if len(s.setups()) != 0 || len(s.answers()) != 0 {
+		t.Fatal("taken after it was told to go")
+	}
+	s.do(PlayerClosed{1})
+	s.empty()
+}
--- a/internal/standin/player/player.go
+++ b/internal/standin/player/player.go
@@ -90,12 +90,12 @@
 	}
 }
 
-func (s *seat) Closed(_ *transport.Conn, _ error, _ []uint64) {
+func (s *seat) Closed(_ *transport.Conn, why error, _ []uint64) {
 	by := witness.ByPeer
 	if s.ours.Load() {
 		by = witness.ByUs
 	}
-	s.crowd.Record.Add(witness.Record{What: witness.Closed, Viewer: s.viewer, Conn: s.number, Director: s.name, By: by})
+	s.crowd.Record.Add(witness.Record{What: witness.Closed, Viewer: s.viewer, Conn: s.number, Director: s.name, By: by, Why: why.Error()})
 	close(s.closed)
 }
 
--- a/internal/witness/check.go
+++ b/internal/witness/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"fordusher/internal/wire"
@@ -79,6 +80,9 @@
 	}
 }
 
+// wentForRoom marks a close for want of room: its code, as the stand-ins note it.
+const wentForRoom = "1013 retry-ms="
+
 type wantKey struct {
 	conn uint64
 	id   string
@@ -203,7 +207,8 @@
 			return
 		}
 		for _, w := range a.conns[r.Conn] {
-			if r.By == ByUs && w.excused == 0 {
+			// A close that says when to come back is an answer to what crosses it.
+			if (r.By == ByUs || strings.Contains(r.Why, wentForRoom)) && w.excused == 0 {
 				w.excused = r.At
 			}
 		}
--- a/internal/witness/tally.go
+++ b/internal/witness/tally.go
@@ -1,6 +1,10 @@
 package witness
 
-import "fordusher/internal/wire"
+import (
+	"strings"
+
+	"fordusher/internal/wire"
+)
 
 // Counts are how the requests of a record ended: each in exactly one way.
 type Counts struct {
@@ -53,7 +57,7 @@
 		case wire.Setup:
 			c.Legs++
 		case Closed:
-			if r.Node == "" && r.By == ByUs {
+			if r.Node == "" && (r.By == ByUs || strings.Contains(r.Why, wentForRoom)) {
 				for _, s := range byConn[r.Conn] {
 					s.gone = true
 				}
--- a/internal/witness/witness_test.go
+++ b/internal/witness/witness_test.go
@@ -91,6 +91,15 @@
 			l.add(10, Record{What: Closed, Conn: 1, By: by})
 			l.want(3000, 2, "clip")
 		}},
+		{"a close for want of room", RuleAnswer, func(l *log, broken bool) {
+			l.want(0, 1, "clip")
+			why := "closed by peer: 1013 retry-ms=1200 no room for the idle"
+			if broken {
+				why = "closed by peer: 1008 too many messages at once"
+			}
+			l.add(10, Record{What: Closed, Conn: 1, By: ByPeer, Why: why})
+			l.want(3000, 2, "clip")
+		}},
 		{"a director that was killed", RuleAnswer, func(l *log, broken bool) {
 			l.want(0, 1, "clip")
 			if !broken {
