Requests wait in a line of their own; one that stands is answered at once

Cause: all that reached the loop waited in one queue. Beyond what a core can do, every request waited until its time had run out, and the core was spent on set-ups called off again.

Change: endings, nodes, the list and the loop's own questions go first; players' requests stand in a line of which 64 are taken at a time. limits.Line decides by how long they waited, not by how many there are: where a line stands for 100 ms, who has waited for half of limits.wait is nacked as busy, before anything was done for it, with a time to come back. A request's time counts from when it came. reach decides when a quiet node is given up. limits.Room.Fit makes the room as small as the descriptors ask for. The kernel's send buffer of a player is bounded.

--- a/cmd/fordusher/main_test.go
+++ b/cmd/fordusher/main_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"fordusher/internal/standin/list"
 	"fordusher/internal/transport"
 	"fordusher/internal/wire"
@@ -174,13 +176,8 @@
 		t.Fatal(err)
 	}
 	defer source.Close()
-	self, err := os.Executable()
-	if err != nil {
-		t.Fatal(err)
-	}
 	conf := file(t, "d.jsonc", strings.Replace(house, "127.0.0.1:1", source.Address(), 1))
-	cmd := exec.Command("sh", "-c", `ulimit -n 64 && exec "$0" serve --conf "$1"`, self, conf)
-	cmd.Env = append(os.Environ(), "FORDUSHER_MAIN=1")
+	cmd := command(t, "serve", "--conf", conf)
 	pipe, err := cmd.StdoutPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -195,6 +192,11 @@
 	if err != nil || json.Unmarshal(line, &told) != nil {
 		t.Fatal(string(line), err)
 	}
+	// The limit shrinks under the running program: what it fitted its room to at the start holds no more.
+	few := unix.Rlimit{Cur: 64, Max: 64}
+	if err := unix.Prlimit(cmd.Process.Pid, unix.RLIMIT_NOFILE, &few, nil); err != nil {
+		t.Fatal(err)
+	}
 	bounds := transport.Bounds{Message: 4096, Queue: 4096, Write: time.Second}
 	join := func(within time.Duration) (*transport.Conn, *printer, error) {
 		p := &printer{in: make(chan wire.Session, 10), closed: make(chan error, 1)}
--- a/cmd/fordusher/serve.go
+++ b/cmd/fordusher/serve.go
@@ -54,7 +54,17 @@
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(400) // a director's heap is small, and its time is not
 	}
-	d, err := daemon.Start(house, c.Boot, c.Seed, house.Module(c.Seed), logger())
+	logger := logger()
+	var descriptors syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &descriptors); err != nil {
+		return fmt.Errorf("the limit on descriptors: %w", err)
+	}
+	room, fitted := house.Room.Fit(int(min(descriptors.Cur, 1<<30)), house.Fleet.Cells)
+	if fitted != "" {
+		logger.Info().Msg(fitted)
+	}
+	house.Room, house.Door.Players.Pending = room, room.Handshakes
+	d, err := daemon.Start(house, c.Boot, c.Seed, house.Module(c.Seed), logger)
 	if err != nil {
 		return err
 	}
--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -36,6 +36,7 @@
 	Pace     reach.Pace
 	Term     closing.Term
 	Room     limits.Room
+	Queue    limits.Queue
 	Door     Door
 }
 
@@ -58,7 +59,7 @@
 
 // Loop starts a director's loop around a module. Boot is a word that no other run has used.
 func (h *House) Loop(boot string, seed uint64, module director.Decider) *director.Loop {
-	return director.New(h.Name, boot, seed, module, h.Tariffs, h.Machines, h.Ladder, h.Manners, h.Pace, h.Term, h.Room)
+	return director.New(h.Name, boot, seed, module, h.Tariffs, h.Machines, h.Ladder, h.Manners, h.Pace, h.Term, h.Room, h.Queue)
 }
 
 // Load reads a file; what is wrong with it comes back as Problems.
@@ -93,11 +94,9 @@
 	h.tidings(o.Object("tidings", false))
 	h.manners(r, o.Object("manners", false))
 	p := o.Object("reach", false)
-	h.Pace = reach.Pace{
-		First:  p.Span("first", 200*time.Millisecond, time.Millisecond, time.Minute, false),
-		Most:   p.Span("most", 5*time.Second, time.Millisecond, time.Hour, false),
-		AtOnce: p.Whole("at_once", 64, 1, 10_000, false),
-	}
+	h.Pace.First = p.Span("first", 200*time.Millisecond, time.Millisecond, time.Minute, false)
+	h.Pace.Most = p.Span("most", 5*time.Second, time.Millisecond, time.Hour, false)
+	h.Pace.AtOnce = p.Whole("at_once", 64, 1, 10_000, false)
 	if h.Pace.First > h.Pace.Most {
 		r.Wrong(p.Where("first"), "first is %v, longer than most, which is %v", h.Pace.First, h.Pace.Most)
 	}
@@ -253,9 +252,9 @@
 		AnswerAhead:   o.Span("answer_ahead", 60*time.Millisecond, 0, time.Minute, false),
 		Linger:        o.Span("linger", 8*time.Second, 0, time.Hour, false),
 		Connect:       o.Span("connect", 250*time.Millisecond, time.Millisecond, time.Minute, false),
-		Ping:          o.Span("ping", time.Second, 10*time.Millisecond, time.Hour, false),
 		PerConnection: o.Whole("sessions_per_connection", 8, 1, 1000, false),
 	}
+	h.Pace.Ping = o.Span("ping", time.Second, 10*time.Millisecond, time.Hour, false)
 	h.Room.Ping = o.Span("ping_players", 10*time.Second, 10*time.Millisecond, time.Hour, false)
 	for _, t := range h.Tariffs {
 		if t.HardStop > 0 && h.Manners.AnswerAhead*2 > t.HardStop {
@@ -278,6 +277,7 @@
 		return b
 	}
 	h.Door.Players = read(players, wire.SessionMost, 64<<10)
+	h.Door.Players.Kernel = players.Bytes("kernel", 16<<10, 0, 64<<20)
 	h.Door.Nodes = read(nodes, wire.NodeMost, 1<<20)
 	h.Door.List = transport.Bounds{Message: wire.ListMost, Queue: 64 << 10, Write: time.Second, Handshake: 5 * time.Second}
 	h.Room.Connections = o.Whole("connections", 15_000, 1, 10_000_000, false)
@@ -287,6 +287,12 @@
 	h.Room.Patience = o.Span("patience", 5*time.Minute, time.Second, 24*time.Hour, false)
 	h.Room.Retry = o.Span("retry", 30*time.Second, time.Second, time.Hour, false)
 	h.Room.Handshake = h.Door.Players.Handshake
+	goals := make([]time.Duration, len(h.Tariffs))
+	for i, t := range h.Tariffs {
+		goals[i] = t.GoalTime
+	}
+	h.Queue.Wait = o.Span("wait", limits.Bearable(goals), time.Millisecond, time.Minute, false)
+	h.Queue.Retry = h.Room.Retry
 	h.Door.Players.Pending = h.Room.Handshakes
 	if h.Room.PerAddress > h.Room.Connections {
 		r.Wrong(o.Where("per_address"), "per_address is %d, more than connections, which is %d", h.Room.PerAddress, h.Room.Connections)
--- a/internal/conf/reader.go
+++ b/internal/conf/reader.go
@@ -236,6 +236,18 @@
 	return l.String()
 }
 
+// Texts reads a list of strings.
+func (o *Object) Texts(name string, need bool) (all []string) {
+	o.Each(name, need, func(i, at int, v hujson.Value) {
+		if l, ok := literal(v, '"'); ok {
+			all = append(all, l.String())
+		} else {
+			o.r.Wrong(at, "%s[%d] has to be text in quotes", name, i)
+		}
+	})
+	return all
+}
+
 // Flag reads true or false.
 func (o *Object) Flag(name string, missing bool) bool {
 	v, ok := o.value(name, false)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -114,9 +114,10 @@
 	in   director.Input
 	conn *transport.Conn
 	peer *peer
+	came time.Time // of what stood in line
 }
 
-// A peer counts its messages that wait for the loop: the inbox's bound, peer by peer.
+// A peer counts what of it waits for the loop: the inbox's bound, peer by peer.
 type peer struct {
 	number  uint64
 	pending atomic.Int32
@@ -124,30 +125,70 @@
 
 // inbox is how everybody else reaches the loop. What connections say is bounded peer by peer; all else
 // is one item for each thing that the loop itself asked for.
+//
+// What players ask stands in a line of its own, of which the loop takes a turn's worth after all else that
+// is there: what nodes and the list say, endings, and what the loop asked for never wait behind requests.
+// Of one player everything keeps its order: while anything of it stands in line, so does the rest.
 type inbox struct {
 	mu    sync.Mutex
-	items []item
+	first []item
+	line  []item
+	head  int // of the line
 	wake  chan struct{}
 }
 
+// turn is how much of the line is taken at a time.
+const turn = 64
+
+// put adds what is not a player's.
 func (b *inbox) put(i item) {
 	b.mu.Lock()
-	b.items = append(b.items, i)
+	b.first = append(b.first, i)
+	b.mu.Unlock()
+	b.rouse()
+}
+
+// stand adds what a player's connection says, at the end of the line. Its peer counts until it is taken.
+func (b *inbox) stand(i item) {
+	i.came = time.Now()
+	b.mu.Lock()
+	b.line = append(b.line, i)
 	b.mu.Unlock()
+	b.rouse()
+}
+
+func (b *inbox) rouse() {
 	select {
 	case b.wake <- struct{}{}:
 	default:
 	}
 }
 
+// take returns all that is first and a turn of the line.
 func (b *inbox) take(into []item) []item {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	taken := b.items
-	b.items = into[:0]
+	taken := b.first
+	b.first = into[:0]
+	n := min(turn, len(b.line)-b.head)
+	taken = append(taken, b.line[b.head:b.head+n]...)
+	clear(b.line[b.head : b.head+n])
+	if b.head += n; b.head == len(b.line) {
+		b.line, b.head = b.line[:0], 0
+	} else if b.head > 1024 && b.head*2 > len(b.line) {
+		b.line = b.line[:copy(b.line, b.line[b.head:])]
+		b.head = 0
+	}
 	return taken
 }
 
+// waits is how many stand in line.
+func (b *inbox) waits() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.line) - b.head
+}
+
 func (d *Daemon) now() time.Duration { return time.Since(d.began) + time.Duration(d.skew.Load()) }
 
 // snapEvery is how often the figures for metrics are renewed.
@@ -247,6 +288,9 @@
 		i.peer.pending.Add(-1)
 	}
 	switch e := i.in.(type) {
+	case director.PlayerSaid:
+		e.Waited = time.Since(i.came)
+		i.in = e
 	case director.PlayerKnocked:
 		d.players[e.Conn] = i.conn
 	case director.PlayerClosed:
@@ -369,14 +413,23 @@
 	}
 }
 
-// hand puts a peer's message into the inbox, unless too many of its wait there.
+// hand puts a message of a node or of the list into the inbox, unless too many of its wait there.
 func (d *Daemon) hand(c *transport.Conn, p *peer, in director.Input) {
-	if p.pending.Add(1) > int32(d.house.Door.Inbox) {
-		d.flooded.Add(1)
-		c.Close(closePolicy, "too many messages at once")
-		return
+	if d.bound(c, p) {
+		d.inbox.put(item{in: in, peer: p})
 	}
-	d.inbox.put(item{in: in, peer: p})
+}
+
+// bound counts one more message of a peer that waits, and closes the peer's connection where that is too
+// many.
+func (d *Daemon) bound(c *transport.Conn, p *peer) bool {
+	if p.pending.Add(1) <= int32(d.house.Door.Inbox) {
+		return true
+	}
+	p.pending.Add(-1)
+	d.flooded.Add(1)
+	c.Close(closePolicy, "too many messages at once")
+	return false
 }
 
 const (
@@ -402,7 +455,8 @@
 	} else if a, err := netip.ParseAddrPort(c.Peer().String()); err == nil {
 		from = a.Addr().Unmap()
 	}
-	h.d.inbox.put(item{in: director.PlayerKnocked{Conn: p.number, Address: from}, conn: c})
+	p.pending.Add(1)
+	h.d.inbox.stand(item{in: director.PlayerKnocked{Conn: p.number, Address: from}, conn: c, peer: p})
 }
 
 func (h players) Opened(c *transport.Conn) {
@@ -416,11 +470,19 @@
 		h.d.malformed(c, 0, err)
 		return
 	}
-	h.d.hand(c, p, director.PlayerSaid{Conn: p.number, Message: m})
+	if h.d.bound(c, p) {
+		h.d.inbox.stand(item{in: director.PlayerSaid{Conn: p.number, Message: m}, peer: p})
+	}
 }
 
 func (h players) Closed(c *transport.Conn, _ error, _ []uint64) {
-	if p, ok := c.Cookie().(*peer); ok {
+	p, ok := c.Cookie().(*peer)
+	switch {
+	case !ok:
+	case p.pending.Load() > 0: // in its order; nothing more comes of it
+		p.pending.Add(1)
+		h.d.inbox.stand(item{in: director.PlayerClosed{Conn: p.number}, peer: p})
+	default:
 		h.d.inbox.put(item{in: director.PlayerClosed{Conn: p.number}})
 	}
 }
@@ -508,6 +570,8 @@
 		{"legs_out", "legs, set-ups and sessions", prometheus.GaugeValue, float64(s.legs)},
 		{"node_connections", "connections to nodes", prometheus.GaugeValue, float64(s.links)},
 		{"players_turned_away_total", "players not let in", prometheus.CounterValue, float64(c.TurnedAway)},
+		{"requests_pressed_total", "requests nacked because they had waited too long for the loop", prometheus.CounterValue, float64(c.Pressed)},
+		{"requests_waiting", "what stands in line for the loop", prometheus.GaugeValue, float64(d.inbox.waits())},
 		{"players_let_go_total", "idle players let go", prometheus.CounterValue, float64(c.LetGo)},
 		{"room_mode", "0 normal, 1 saving, 2 full", prometheus.GaugeValue, float64(s.mode)},
 		{"player_connections_busy", "players with a session or an answer owed", prometheus.GaugeValue, float64(s.busy)},
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"fordusher/internal/conf"
+	"fordusher/internal/director"
 	"fordusher/internal/standin/list"
 	"fordusher/internal/standin/node"
 	"fordusher/internal/transport"
@@ -308,9 +309,34 @@
 	if m := heard.answer(t); m.Type != wire.Plays {
 		t.Fatal(m)
 	}
-	p.d.inbox.mu.Lock()
-	defer p.d.inbox.mu.Unlock()
-	if n := len(p.d.inbox.items); n > 64+10 {
+	if n := p.d.inbox.waits(); n > 64+10 {
 		t.Fatal(n, "items wait")
 	}
 }
+
+// What nodes say, and endings, never stand behind requests; of one player everything keeps its order, and
+// the line gives its place back.
+func TestInboxOrder(t *testing.T) {
+	b := inbox{wake: make(chan struct{}, 1)}
+	for i := range 5000 {
+		b.stand(item{in: director.PlayerSaid{Conn: uint64(i)}})
+	}
+	var batch []item
+	next := uint64(0)
+	for round := 0; b.waits() > 0; round++ {
+		b.put(item{in: director.Withdrawn{Leg: uint64(round)}})
+		batch = b.take(batch)
+		if w, ok := batch[0].in.(director.Withdrawn); !ok || w.Leg != uint64(round) || len(batch) > turn+1 {
+			t.Fatalf("round %d begins with %+v of %d", round, batch[0], len(batch))
+		}
+		for _, i := range batch[1:] {
+			if got := i.in.(director.PlayerSaid).Conn; got != next {
+				t.Fatalf("%d comes before %d", got, next)
+			}
+			next++
+		}
+	}
+	if next != 5000 || cap(b.line) > 16_384 || len(b.line) != 0 {
+		t.Fatal(next, "taken,", len(b.line), "left of", cap(b.line))
+	}
+}
--- a/internal/director/account.go
+++ b/internal/director/account.go
@@ -199,7 +199,7 @@
 			}
 			return
 		}
-		l.want(c, m)
+		l.want(c, m, e.Waited)
 	case wire.Leave:
 		if r != nil && r.session != nil {
 			l.gone(r.session)
@@ -214,23 +214,26 @@
 	}
 }
 
-func (l *Loop) want(c *conn, m wire.Session) {
+// want takes a request that has waited for the loop for so long.
+func (l *Loop) want(c *conn, m wire.Session, waited time.Duration) {
 	l.counts.Taken++
 	r := &request{}
 	if c.requests == nil {
 		c.requests = map[string]*request{}
 	}
 	c.requests[m.ID] = r
+	backoff := time.Duration(0)
 	refuse := func(kind, why string, count *uint64) {
 		*count++
-		answer := wire.Session{Type: kind, ID: m.ID, Why: why}
+		answer := wire.Session{Type: kind, ID: m.ID, Why: why, Backoff: backoff.Milliseconds()}
 		r.answer = &answer
 		l.do(TellPlayer{Conn: c.number, Message: answer})
 		l.remember(c, m.ID)
 	}
 	tariff, known := l.tariff[m.Tariff]
 	t, listed := l.titles[m.Title]
-	stop := l.now + time.Duration(m.Wait)*time.Millisecond
+	came := l.now - waited
+	stop := came + time.Duration(m.Wait)*time.Millisecond
 	switch {
 	case l.stop != nil:
 		l.counts.Closing++
@@ -246,7 +249,7 @@
 		refuse(wire.Nack, "too many sessions on this connection", &l.counts.Nacked)
 		return
 	}
-	stop = min(stop, l.now+l.tariffs[tariff].HardStop) - l.manners.AnswerAhead
+	stop = min(stop, came+l.tariffs[tariff].HardStop) - l.manners.AnswerAhead
 	if s := l.keys[m.Key]; s != nil {
 		switch {
 		case s.tariff != tariff || s.title != m.Title || s.answered && s.phase != playing:
@@ -256,6 +259,20 @@
 		}
 		return
 	}
+	if stop <= l.now {
+		refuse(wire.Nack, "no time left", &l.counts.Nacked)
+		return
+	}
+	word := l.line.Step(l.now, waited)
+	if word.Log != "" {
+		l.log("%s", word.Log)
+	}
+	if !word.Take { // nothing was done for it yet, so this claims nothing
+		l.counts.Pressed++
+		backoff = word.Retry
+		refuse(wire.Nack, "busy", &l.counts.Nacked)
+		return
+	}
 	l.lastSession++
 	s := &session{
 		id: l.lastSession, name: l.sessionName(l.lastSession), key: m.Key, tariff: tariff, title: m.Title,
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -46,10 +46,11 @@
 	PlayerOpened struct{ Conn uint64 }
 	// Memory is what the program uses now, in bytes.
 	Memory struct{ Bytes int64 }
-	// PlayerSaid is a message from a player.
+	// PlayerSaid is a message from a player that has waited for the loop for so long.
 	PlayerSaid struct {
 		Conn    uint64
 		Message wire.Session
+		Waited  time.Duration
 	}
 	// PlayerClosed says that a player's connection has ended.
 	PlayerClosed struct{ Conn uint64 }
@@ -196,7 +197,6 @@
 	AnswerAhead   time.Duration // an answer is sent this long before the viewer's time is up
 	Linger        time.Duration // a session outlives its player's connection so long
 	Connect       time.Duration // longest try to connect to a node
-	Ping          time.Duration // a node is asked for a sign of life so often; after three without one it counts as lost
 	PerConnection int           // sessions that one player's connection may have
 }
 
@@ -217,7 +217,9 @@
 	manners Manners
 	term    closing.Term
 	reach   *reach.Reach
+	ping    time.Duration
 	limits  *limits.Limits
+	line    *limits.Line
 
 	now     time.Duration
 	out     []Output
@@ -249,12 +251,12 @@
 
 // New starts a director. Boot is a word that no other run of this director has used.
 func New(name, boot string, seed uint64, module Decider, tariffs []Tariff, kinds []string,
-	ladder policy.Ladder, manners Manners, pace reach.Pace, term closing.Term, room limits.Room) *Loop {
+	ladder policy.Ladder, manners Manners, pace reach.Pace, term closing.Term, room limits.Room, queue limits.Queue) *Loop {
 	l := &Loop{
 		name: name, boot: boot, module: module, tariffs: tariffs, ladder: ladder, manners: manners, term: term,
-		tariff: map[string]int{}, kind: map[string]int{}, reach: reach.New(seed, pace),
-		limits: limits.New(seed, room),
-		conns:  map[uint64]*conn{}, sessions: map[uint64]*session{}, keys: map[string]*session{},
+		tariff: map[string]int{}, kind: map[string]int{}, reach: reach.New(seed, pace), ping: pace.Ping,
+		limits: limits.New(seed, room), line: limits.NewLine(seed, queue),
+		conns: map[uint64]*conn{}, sessions: map[uint64]*session{}, keys: map[string]*session{},
 		legs: map[uint64]*leg{}, nodes: map[string]*node{}, links: map[uint64]*node{},
 		titles: map[string]title{},
 	}
@@ -276,6 +278,7 @@
 	Overdue, OddMove, Stray, Late, BadWord uint64
 	Broken                                 uint64 // sessions that played and lost their node
 	TurnedAway, LetGo                      uint64 // players not let in, and idle ones let go
+	Pressed                                uint64 // requests that had waited too long for a loop that is behind
 	Stalls                                 uint64 // times that the loop was late by more than 100 ms
 }
 
@@ -431,7 +434,7 @@
 	case timerPing:
 		if n := l.links[t.id]; n != nil && n.up {
 			l.do(AskAlive{t.id})
-			n.ping = l.timers.add(l.now+l.manners.Ping, timerPing, t.id)
+			n.ping = l.timers.add(l.now+l.ping, timerPing, t.id)
 		}
 	case timerClose:
 		l.close()
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -1,6 +1,7 @@
 package director
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -68,7 +69,7 @@
 		s := newStage(t, 3)
 		s.want("1", "exam")
 		g := s.oneLeg()
-		leave := func() { s.do(PlayerSaid{1, wire.Session{Type: wire.Leave, ID: "1"}}) }
+		leave := func() { s.do(PlayerSaid{Conn: 1, Message: wire.Session{Type: wire.Leave, ID: "1"}}) }
 		if answerFirst {
 			s.do(said(g, wire.Accepted))
 			leave()
@@ -292,14 +293,14 @@
 	g := s.oneLeg()
 	s.do(PlayerClosed{1})
 	s.enter(2)
-	s.do(PlayerSaid{2, wire.Session{Type: wire.Want, ID: "9", Tariff: "exam", Title: "t", Key: "k", Wait: 5000}})
+	s.do(PlayerSaid{Conn: 2, Message: wire.Session{Type: wire.Want, ID: "9", Tariff: "exam", Title: "t", Key: "k", Wait: 5000}})
 	s.do(said(g, wire.Accepted))
 	if a := s.oneAnswer(wire.Plays); a.ID != "9" {
 		t.Fatal(a)
 	}
 	// While the second connection still stands, a third one takes the session over.
 	s.enter(3)
-	s.do(PlayerSaid{3, wire.Session{Type: wire.Want, ID: "7", Tariff: "exam", Title: "t", Key: "k", Wait: 5000}})
+	s.do(PlayerSaid{Conn: 3, Message: wire.Session{Type: wire.Want, ID: "7", Tariff: "exam", Title: "t", Key: "k", Wait: 5000}})
 	if a := s.answers(); len(a) != 2 || a[1].ID != "7" || a[1].Session != a[0].Session {
 		t.Fatal(a)
 	}
@@ -308,7 +309,7 @@
 	}
 	s.oneLeg()
 	// The key with another title is somebody else's.
-	s.do(PlayerSaid{3, wire.Session{Type: wire.Want, ID: "8", Tariff: "clip", Title: "t", Key: "k", Wait: 5000}})
+	s.do(PlayerSaid{Conn: 3, Message: wire.Session{Type: wire.Want, ID: "8", Tariff: "clip", Title: "t", Key: "k", Wait: 5000}})
 	if a := s.answers(); len(a) != 3 || a[2].Type != wire.Errored {
 		t.Fatal(a)
 	}
@@ -330,7 +331,7 @@
 	s.want("1", "exam", func(m *wire.Session) { m.Key = "k" })
 	s.do(PlayerClosed{1})
 	s.enter(2)
-	s.do(PlayerSaid{2, wire.Session{Type: wire.Want, ID: "1", Tariff: "exam", Title: "t", Key: "k", Wait: 500}})
+	s.do(PlayerSaid{Conn: 2, Message: wire.Session{Type: wire.Want, ID: "1", Tariff: "exam", Title: "t", Key: "k", Wait: 500}})
 	s.pass(451 * ms)
 	s.oneAnswer(wire.Errored)
 	s.pass(3 * time.Second)
@@ -354,7 +355,7 @@
 		got["7"] != "nack: too many sessions on this connection" {
 		t.Fatal(got)
 	}
-	s.do(PlayerSaid{1, wire.Session{Type: wire.Plays, ID: "1"}})
+	s.do(PlayerSaid{Conn: 1, Message: wire.Session{Type: wire.Plays, ID: "1"}})
 	if c, ok := s.out[len(s.out)-1].(ClosePlayer); !ok || c.Code != 1008 {
 		t.Fatal(s.out)
 	}
@@ -544,3 +545,47 @@
 	s.do(PlayerClosed{1})
 	s.empty()
 }
+
+// The loop is behind: requests that have stood in line for long are nacked at once, before anything was
+// done for them, with a time to come back; a session that is there already is found again all the same.
+func TestLineBehindTheLoop(t *testing.T) {
+	s := newStage(t, 2)
+	s.want("first", "clip")
+	s.do(said(s.oneLeg(), wire.Accepted))
+	s.forget()
+	stood := func(id string) {
+		s.do(PlayerSaid{Conn: 1, Waited: 300 * ms, Message: wire.Session{Type: wire.Want, ID: id, Tariff: "clip", Title: "t", Key: "key-" + id, Wait: 5000}})
+	}
+	for i := range 300 {
+		s.now += ms
+		stood(fmt.Sprint("w", i))
+		if n := len(s.loop.sessions); n > 4 { // as many as a connection may have: make room
+			t.Fatal(n)
+		}
+		for _, x := range s.loop.sessions {
+			if x.request != "first" {
+				s.do(PlayerSaid{Conn: 1, Message: wire.Session{Type: wire.Leave, ID: x.request}})
+			}
+		}
+	}
+	nacks := s.told(wire.Nack)
+	if len(nacks) < 90 || nacks[0].Why != "busy" || nacks[0].Backoff < 1000 || s.loop.counts.Pressed != uint64(len(nacks)) {
+		t.Fatal(len(nacks), s.loop.counts.Pressed)
+	}
+	s.forget()
+	s.enter(2)
+	s.do(PlayerSaid{Conn: 2, Waited: 300 * ms, Message: wire.Session{Type: wire.Want, ID: "again", Tariff: "clip", Title: "t", Key: "key-first", Wait: 5000}})
+	if len(s.told(wire.Plays)) != 1 || s.loop.counts.Adopted != 1 {
+		t.Fatal(s.all)
+	}
+}
+
+// A request whose time ran out while it stood in line is answered in the step that takes it, without a leg.
+func TestTimeRunsOutInLine(t *testing.T) {
+	s := newStage(t, 2)
+	s.do(PlayerSaid{Conn: 1, Waited: 2 * time.Second, Message: wire.Session{Type: wire.Want, ID: "1", Tariff: "exam", Title: "t", Key: "k", Wait: 2000}})
+	if n := s.told(wire.Nack); len(n) != 1 || len(s.setups()) != 0 {
+		t.Fatal(s.all)
+	}
+	s.empty()
+}
--- a/internal/director/nodes.go
+++ b/internal/director/nodes.go
@@ -36,9 +36,6 @@
 	base, copies int
 }
 
-// pingsMissed is how many signs of life a node may owe before it counts as lost.
-const pingsMissed = 3
-
 // sorted goes through a map by its keys' order, so that the same inputs give the same outputs.
 func sorted[K interface {
 	~string | ~uint64
@@ -53,7 +50,7 @@
 }
 
 // reached tells package reach what happened and carries out its plan.
-func (l *Loop) reached(e reach.Event) {
+func (l *Loop) reached(e reach.Event) (giveUp bool) {
 	plan := l.reach.Step(l.now, e)
 	for _, place := range plan.Dial {
 		n := l.places[place]
@@ -65,6 +62,7 @@
 	if plan.Ring > 0 {
 		l.timers.add(plan.Ring, timerReach, 0)
 	}
+	return plan.GiveUp
 }
 
 func (l *Loop) linkMade(e LinkMade) {
@@ -74,7 +72,7 @@
 		return
 	}
 	n.trying, n.up = false, true
-	n.ping = l.timers.add(l.now+l.manners.Ping, timerPing, e.Link)
+	n.ping = l.timers.add(l.now+l.ping, timerPing, e.Link)
 	l.do(TellNode{e.Link, 0, wire.Node{Type: wire.Hello, Director: l.name}})
 	l.reached(reach.Event{Node: n.place, What: reach.Made})
 	if n.dialled != n.address { // the list has moved it meanwhile
@@ -137,9 +135,9 @@
 	l.dropNode(n)
 }
 
-// linkAlive hangs up on a node that has been quiet for too long: a connection may die without a word.
+// linkAlive hangs up on a node that has been quiet for too long.
 func (l *Loop) linkAlive(e LinkAlive) {
-	if n := l.links[e.Link]; n != nil && n.up && e.Quiet > pingsMissed*l.manners.Ping {
+	if n := l.links[e.Link]; n != nil && n.up && l.reached(reach.Event{Node: n.place, What: reach.Heard, Ago: e.Quiet}) {
 		l.log("node %s has been quiet for %v: its connection is given up, %d legs with it", n.name,
 			e.Quiet.Round(time.Millisecond), len(n.legs))
 		l.do(HangUp{e.Link})
--- a/internal/director/rules_test.go
+++ b/internal/director/rules_test.go
@@ -236,7 +236,9 @@
 		if w.tariff == "exam" {
 			hard = 2 * time.Second
 		}
-		w.stop = s.now + min(hard, time.Duration(wait)*ms)
+		// Some have stood in line, some for longer than the viewer waits: these are answered in the same step.
+		waited := time.Duration(rapid.SampledFrom([]int{0, 0, 0, 120, 300, 1500}).Draw(t, "waited")) * ms
+		w.stop = max(s.now, s.now-waited+min(hard, time.Duration(wait)*ms))
 		c.wants[fmt.Sprint(conn, "/", w.id)] = w
 		c.order = append(c.order, w)
 		key := "k" + fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "key"))
@@ -249,12 +251,12 @@
 				o.excused = true
 			}
 		}
-		c.do(PlayerSaid{conn, wire.Session{Type: wire.Want, ID: w.id, Tariff: w.tariff, Title: "t", Key: key, Wait: wait}})
+		c.do(PlayerSaid{Conn: conn, Message: wire.Session{Type: wire.Want, ID: w.id, Tariff: w.tariff, Title: "t", Key: key, Wait: wait}, Waited: waited})
 	case 3: // a request again
 		for _, w := range c.order {
 			if slices.Contains(c.conns, w.conn) && s.loop.conns[w.conn].requests[w.id] != nil {
 				w.again++
-				c.do(PlayerSaid{w.conn, wire.Session{Type: wire.Want, ID: w.id, Tariff: w.tariff, Title: "t", Key: "x", Wait: 1000}})
+				c.do(PlayerSaid{Conn: w.conn, Message: wire.Session{Type: wire.Want, ID: w.id, Tariff: w.tariff, Title: "t", Key: "x", Wait: 1000}})
 				break
 			}
 		}
@@ -262,7 +264,7 @@
 		for _, w := range c.order {
 			if slices.Contains(c.conns, w.conn) && !w.excused {
 				w.excused = true
-				c.do(PlayerSaid{w.conn, wire.Session{Type: wire.Leave, ID: w.id}})
+				c.do(PlayerSaid{Conn: w.conn, Message: wire.Session{Type: wire.Leave, ID: w.id}})
 				break
 			}
 		}
--- a/internal/director/stage_test.go
+++ b/internal/director/stage_test.go
@@ -48,9 +48,10 @@
 		policy.Tidings{Late: 500 * ms, Every: 2 * time.Second, Backoff: time.Second})
 	s := &stage{t: t, links: map[string]uint64{}}
 	s.loop = New("d", "b", 1, module, tariffs, []string{"box"}, ladder,
-		Manners{AnswerAhead: 50 * ms, Linger: time.Second, Connect: 250 * ms, Ping: time.Second, PerConnection: 4},
-		reach.Pace{First: 100 * ms, Most: time.Second, AtOnce: 8}, closing.Term{Within: 2 * time.Second, Slice: 100 * ms},
-		limits.Room{Connections: 1000, Handshakes: 100, Ping: 10 * time.Second, Patience: time.Minute, Handshake: time.Second, Retry: 10 * time.Second})
+		Manners{AnswerAhead: 50 * ms, Linger: time.Second, Connect: 250 * ms, PerConnection: 4},
+		reach.Pace{First: 100 * ms, Most: time.Second, AtOnce: 8, Ping: time.Second}, closing.Term{Within: 2 * time.Second, Slice: 100 * ms},
+		limits.Room{Connections: 1000, Handshakes: 100, Ping: 10 * time.Second, Patience: time.Minute, Handshake: time.Second, Retry: 10 * time.Second},
+		limits.Queue{Wait: 200 * ms, Retry: 10 * time.Second})
 	var entries []wire.Entry
 	for i := range nodes {
 		entries = append(entries, up(i))
@@ -114,7 +115,7 @@
 	for _, f := range change {
 		f(&m)
 	}
-	s.do(PlayerSaid{1, m})
+	s.do(PlayerSaid{Conn: 1, Message: m})
 }
 
 // setups are the set-ups sent since the last forget.
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -18,6 +18,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"net/url"
 	"sync"
 	"sync/atomic"
@@ -46,6 +47,7 @@
 	Queue     int           // bytes of messages that wait to be written
 	Write     time.Duration // longest that a write may stand still
 	Handshake time.Duration // longest that a handshake may take
+	Kernel    int           // bytes that the kernel may hold for a peer that does not read; 0: as the system does
 	Pending   int           // connections whose handshake has not come whole yet; more are reset. 0: no bound
 }
 
@@ -685,6 +687,11 @@
 				np.Close()
 				return context.Background()
 			}
+			if f, ok := np.(netpoll.Conn); ok && bounds.Kernel > 0 {
+				// Left alone it grows to megabytes for a peer that asks for much and reads nothing. An error
+				// leaves it as it was.
+				unix.SetsockoptInt(f.Fd(), unix.SOL_SOCKET, unix.SO_SNDBUF, bounds.Kernel)
+			}
 			np.SetWriteTimeout(bounds.Write)
 			np.AddCloseCallback(c.closed)
 			c.writeAtOnce()
@@ -763,8 +770,13 @@
 // Dial connects to a server and returns once the handshake is done or the time is up. The handler's
 // Opened has been called when it returns without an error; without one nothing of it is ever called.
 func Dial(address, protocol string, within time.Duration, bounds Bounds, handler Handler, cookie any) (*Conn, error) {
+	return DialFrom(netip.Addr{}, address, protocol, within, bounds, handler, cookie)
+}
+
+// DialFrom is Dial from an address of this machine; without one the system chooses.
+func DialFrom(from netip.Addr, address, protocol string, within time.Duration, bounds Bounds, handler Handler, cookie any) (*Conn, error) {
 	began := time.Now()
-	np, err := netpoll.DialConnection("tcp", address, within)
+	np, err := dial(from, address, within)
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", address, err)
 	}
@@ -802,6 +814,19 @@
 	return c, nil
 }
 
+func dial(from netip.Addr, address string, within time.Duration) (netpoll.Connection, error) {
+	if !from.IsValid() {
+		return netpoll.DialConnection("tcp", address, within)
+	}
+	to, err := netpoll.ResolveTCPAddr("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	return netpoll.DialTCP(ctx, "tcp", &netpoll.TCPAddr{TCPAddr: net.TCPAddr{IP: from.AsSlice()}}, to)
+}
+
 // leftover is what a handshake's reader has read past its end.
 func leftover(br *bufio.Reader) []byte {
 	rest, _ := br.Peek(br.Buffered())
--- /dev/null
+++ b/limits/line.go
@@ -0,0 +1,111 @@
+package limits
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// Queue is how long new requests may stand in line for a loop that is behind.
+type Queue struct {
+	Wait  time.Duration // longer than this for a whole interval: the line presses, and who waited so long is turned away
+	Retry time.Duration // longest time that they are told to stay away
+}
+
+// Bearable is a wait for the loop that leaves three quarters of the shortest goal time to the set-up.
+func Bearable(goals []time.Duration) time.Duration {
+	wait := 250 * time.Millisecond
+	for _, g := range goals {
+		if g > 0 {
+			wait = min(wait, g/4)
+		}
+	}
+	return wait
+}
+
+// Line decides which of the requests that wait for the loop are still taken. It looks at how long they
+// have waited and not at how many there are: a burst that is worked off within an interval is no reason to
+// turn anybody away, a line that stands is.
+//
+//	calm      all are taken; where even the shortest wait of an interval was over Wait, the line presses
+//	pressing  who has waited for half of Wait is turned away at once, while there is still time to come
+//	          again; where no wait of an interval was so long, the line is calm again
+//
+// Only requests that nothing was done for yet come here. Answers, endings and what nodes say never wait
+// behind them: the caller keeps those in a lane of their own.
+type Line struct {
+	queue    Queue
+	chance   *rand.Rand
+	pressing bool
+	ends     time.Duration // of the interval
+	shortest time.Duration // wait in it
+	longest  time.Duration
+	seen     int
+	taken    int // in the interval
+	pace     int // taken in the last one
+	turned   int // since it presses
+	began    time.Duration
+}
+
+// Word is what becomes of one request.
+type Word struct {
+	Take  bool
+	Retry time.Duration // where it is not taken: when to come back
+	Log   string        // one line for a change of mode
+}
+
+// lineEvery is an interval.
+const lineEvery = 100 * time.Millisecond
+
+// NewLine starts calm.
+func NewLine(seed uint64, queue Queue) *Line {
+	return &Line{queue: queue, chance: rand.New(rand.NewPCG(seed, 11))}
+}
+
+// Pressing tells whether requests are being turned away.
+func (l *Line) Pressing() bool { return l.pressing }
+
+// Step takes a request that comes to its turn at a time, after it has waited for so long.
+func (l *Line) Step(now, waited time.Duration) (w Word) {
+	if now >= l.ends {
+		w.Log = l.turnInterval(now)
+	}
+	if l.seen == 0 || waited < l.shortest {
+		l.shortest = waited
+	}
+	l.longest = max(l.longest, waited)
+	l.seen++
+	w.Take = !l.pressing || waited <= l.queue.Wait/2
+	if w.Take {
+		l.taken++
+		return w
+	}
+	l.turned++
+	w.Retry = l.retry()
+	return w
+}
+
+// turnInterval judges the interval that has ended and begins the next.
+func (l *Line) turnInterval(now time.Duration) (log string) {
+	quiet := now >= l.ends+lineEvery // a whole interval without a request: the line is empty
+	switch {
+	case !l.pressing && !quiet && l.seen > 1 && l.shortest > l.queue.Wait:
+		l.pressing, l.turned, l.began = true, 0, now
+		log = fmt.Sprintf("requests: pressing: none of %d waited under %v for the loop in %v; who waited over %v is turned away", l.seen,
+			l.shortest.Round(time.Millisecond), lineEvery, l.queue.Wait/2)
+	case l.pressing && (quiet || l.longest <= l.queue.Wait/2):
+		l.pressing = false
+		log = fmt.Sprintf("requests: calm after %v, %d turned away", (now - l.began).Round(time.Millisecond), l.turned)
+	}
+	l.pace = max(1, l.taken)
+	l.ends, l.seen, l.taken, l.longest = now+lineEvery, 0, 0, 0
+	return log
+}
+
+// retry spreads those who are turned away over the time that taking them would need at the pace at which
+// requests are taken now; drawn, so that they do not come back together.
+func (l *Line) retry() time.Duration {
+	wait := max(time.Second, time.Duration(l.turned/l.pace)*lineEvery)
+	wait = min(wait, l.queue.Retry/2)
+	return wait + time.Duration(l.chance.Int64N(int64(wait)+1))
+}
--- /dev/null
+++ b/limits/line_test.go
@@ -0,0 +1,98 @@
+package limits
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// A server that takes requests in turn: who is taken costs it the work, who is turned away a twentieth.
+func serve(l *Line, rate float64, work, span time.Duration, since time.Duration) (taken, turned int, late time.Duration) {
+	gap := time.Duration(float64(time.Second) / rate)
+	free := since
+	for at := since; at < since+span; at += gap {
+		free = max(free, at)
+		w := l.Step(free, free-at)
+		if w.Take {
+			taken++
+			late = max(late, free-at)
+			free += work
+		} else {
+			turned++
+			free += work / 20
+		}
+	}
+	return taken, turned, late
+}
+
+func TestLineTakesAllItCan(t *testing.T) {
+	l := NewLine(1, Queue{Wait: 100 * ms, Retry: 10 * time.Second})
+	if _, turned, _ := serve(l, 900, ms, 5*time.Second, 0); turned > 0 {
+		t.Errorf("%d turned away below what the loop can do", turned)
+	}
+	// Twice what it can do: it goes on at nine tenths of its pace at least, and nobody who is taken has
+	// waited long once the line presses.
+	serve(l, 2000, ms, time.Second, 10*time.Second)
+	taken, turned, late := serve(l, 2000, ms, 5*time.Second, 11*time.Second)
+	if taken < 4400 || turned < 4000 || late > 60*ms {
+		t.Errorf("%d taken, %d turned away, longest wait %v", taken, turned, late)
+	}
+	if !l.Pressing() {
+		t.Error("not pressing")
+	}
+	if _, turned, _ := serve(l, 500, ms, time.Second, 20*time.Second); turned > 0 || l.Pressing() {
+		t.Errorf("%d turned away once it is over, pressing %v", turned, l.Pressing())
+	}
+}
+
+// A burst, or a stall of the process, is worked off: the line stands for a moment only.
+func TestBurstIsTaken(t *testing.T) {
+	l := NewLine(1, Queue{Wait: 100 * ms, Retry: 10 * time.Second})
+	for i := range 1000 { // two seconds' requests after a stall, oldest first, 50 us each
+		at := time.Duration(i) * 2 * ms
+		now := 2*time.Second + time.Duration(i)*50*time.Microsecond
+		if w := l.Step(now, now-at); !w.Take {
+			t.Fatalf("request %d turned away", i)
+		}
+	}
+}
+
+// Whatever comes: nobody is turned away who waited for half of Wait at the most, a line without waits is
+// calm within two intervals, and the time to come back is within its bound.
+func TestLineHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		queue := Queue{Wait: time.Duration(rapid.IntRange(10, 500).Draw(t, "wait")) * ms, Retry: 5 * time.Second}
+		l := NewLine(rapid.Uint64().Draw(t, "seed"), queue)
+		now, since := time.Duration(0), time.Duration(-1)
+		for range rapid.IntRange(1, 300).Draw(t, "n") {
+			now += time.Duration(rapid.IntRange(0, 60).Draw(t, "gap")) * ms
+			waited := time.Duration(rapid.IntRange(0, 1000).Draw(t, "waited")) * ms
+			w := l.Step(now, waited)
+			if !w.Take && (waited <= queue.Wait/2 || w.Retry < time.Second || w.Retry > queue.Retry) {
+				t.Fatalf("turned away after %v, told %v", waited, w.Retry)
+			}
+			if w.Take && l.Pressing() && waited > queue.Wait/2 {
+				t.Fatalf("taken after %v", waited)
+			}
+			if waited > queue.Wait/2 {
+				since = now
+			}
+			if l.Pressing() && now-since > 3*lineEvery && since >= 0 {
+				t.Fatalf("still pressing %v after the last long wait", now-since)
+			}
+		}
+	})
+}
+
+func TestFit(t *testing.T) {
+	for _, x := range []struct{ asked, handshakes, descriptors, nodes, want, shaking int }{
+		{15_000, 1024, 20_000, 250, 15_000, 1024}, {18_000, 1024, 18_000, 250, 16_376, 1024}, {10, 5, 64, 20, 1, 5},
+		{1000, 1024, 1024, 0, 796, 128},
+	} {
+		got, line := Room{Connections: x.asked, Handshakes: x.handshakes}.Fit(x.descriptors, x.nodes)
+		if got.Connections != x.want || got.Handshakes != x.shaking || (line == "") != (x.asked == x.want && x.handshakes == x.shaking) {
+			t.Errorf("%+v: %d connections, %d handshakes, %q", x, got.Connections, got.Handshakes, line)
+		}
+	}
+}
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -15,12 +15,17 @@
 	First  time.Duration // pause after the first failure; each further one doubles it
 	Most   time.Duration // up to this
 	AtOnce int           // tries under way at one time
+	Ping   time.Duration // a connected node is asked for a sign of life so often
 }
 
+// missed is how many signs of life a node may owe before its connection is given up.
+const missed = 3
+
 // Event is something that happened to a node, which the caller names by a small index.
 type Event struct {
 	Node int
 	What What
+	Ago  time.Duration // Heard: how long ago
 }
 
 // What happened.
@@ -33,13 +38,16 @@
 	Made                 // a try succeeded
 	Failed               // a try failed
 	Lost                 // a connection that was made has ended
+	Heard                // something came from the node, so long ago
 	Ring                 // the time that was asked for has come
 )
 
-// Plan is what is to be done: connect to these nodes now, and ring at a time (0: no need).
+// Plan is what is to be done: connect to these nodes now, give the connection up to the one that was told
+// of, and ring at a time (0: no need).
 type Plan struct {
-	Dial []int
-	Ring time.Duration
+	Dial   []int
+	GiveUp bool
+	Ring   time.Duration
 }
 
 type state int
@@ -99,6 +107,8 @@
 		if n.drop {
 			delete(r.nodes, e.Node)
 		}
+	case e.What == Heard && n.state == made: // a connection may die without a word
+		r.plan.GiveUp = e.Ago > missed*r.pace.Ping
 	case e.What == Lost && n.state == made:
 		n.state, n.due = idle, now // it may be back already; if not, the pauses begin
 	}
--- a/reach/reach_test.go
+++ b/reach/reach_test.go
@@ -7,7 +7,7 @@
 	"pgregory.net/rapid"
 )
 
-var pace = Pace{First: 100 * time.Millisecond, Most: time.Second, AtOnce: 3}
+var pace = Pace{First: 100 * time.Millisecond, Most: time.Second, AtOnce: 3, Ping: time.Second}
 
 // Whatever happens: never two tries at one node, never more than AtOnce, no try at an unlisted node, and
 // a node that is wanted and not connected is tried again within the longest pause once there is room.
@@ -51,30 +51,30 @@
 					idleSince[i] = now
 				}
 				listed[i] = true
-				step(Event{i, Listed})
+				step(Event{Node: i, What: Listed})
 			case what == Unlisted && listed[i]:
 				delete(listed, i)
 				delete(idleSince, i)
 				if up[i] {
 					delete(up, i) // the caller hangs up
 				}
-				step(Event{i, Unlisted})
+				step(Event{Node: i, What: Unlisted})
 			case what == Made && trying[i]:
 				delete(trying, i)
 				if listed[i] {
 					up[i] = true
 				}
-				step(Event{i, Made})
+				step(Event{Node: i, What: Made})
 			case what == Failed && trying[i]:
 				delete(trying, i)
 				if listed[i] {
 					idleSince[i] = now
 				}
-				step(Event{i, Failed})
+				step(Event{Node: i, What: Failed})
 			case what == Lost && up[i]:
 				delete(up, i)
 				idleSince[i] = now
-				step(Event{i, Lost})
+				step(Event{Node: i, What: Lost})
 			}
 		}
 	})
@@ -84,13 +84,13 @@
 func TestPausesDoubleUntilANewStart(t *testing.T) {
 	r := New(1, pace)
 	now := time.Duration(0)
-	p := r.Step(now, Event{0, Listed})
+	p := r.Step(now, Event{Node: 0, What: Listed})
 	last := time.Duration(0)
 	for i := range 6 {
 		if len(p.Dial) != 1 {
 			t.Fatal(i, p)
 		}
-		p = r.Step(now, Event{0, Failed})
+		p = r.Step(now, Event{Node: 0, What: Failed})
 		span := min(pace.Most, pace.First<<i)
 		if wait := p.Ring - now; wait < span/2 || wait > span || i > 0 && wait < last/4 {
 			t.Fatal(i, wait)
@@ -99,8 +99,26 @@
 		now = p.Ring
 		p = r.Step(now, Event{What: Ring})
 	}
-	r.Step(now, Event{0, Failed})
-	if p = r.Step(now, Event{0, Listed}); len(p.Dial) != 1 {
+	r.Step(now, Event{Node: 0, What: Failed})
+	if p = r.Step(now, Event{Node: 0, What: Listed}); len(p.Dial) != 1 {
 		t.Fatal("a new start waits for an old pause", p)
 	}
 }
+
+// A node that has been quiet for three signs of life is given up; one that is not connected has nothing to give up.
+func TestQuietNodeIsGivenUp(t *testing.T) {
+	r := New(1, pace)
+	r.Step(0, Event{Node: 0, What: Listed})
+	if r.Step(0, Event{Node: 0, What: Heard, Ago: time.Hour}).GiveUp {
+		t.Fatal("given up before it was connected")
+	}
+	r.Step(0, Event{Node: 0, What: Made})
+	for _, x := range []struct {
+		ago  time.Duration
+		want bool
+	}{{0, false}, {3 * pace.Ping, false}, {3*pace.Ping + 1, true}} {
+		if got := r.Step(0, Event{Node: 0, What: Heard, Ago: x.ago}).GiveUp; got != x.want {
+			t.Errorf("quiet for %v: given up %v", x.ago, got)
+		}
+	}
+}
