Load scenarios over several processes, every second kept; fordusher plot

Need: never-readers, slow readers, reconnects and many director processes could not be put on a director side by side, and only totals were kept.

A player that does not read is cut off by a reset: its closing waited in the kernel before, behind what it does not read.

Tests cover each kind over processes.

--- a/cmd/fordusher/load.go
+++ b/cmd/fordusher/load.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -28,6 +29,8 @@
 	Setups  setupsCommand  `cmd:"" help:"Set-ups at a steady rate: what a director adds to a player that speaks to nodes itself."`
 	Idle    idleCommand    `cmd:"" help:"Idle connections over sockets: what each costs a director, and a door with a goroutine and a timer for each."`
 	Million millionCommand `cmd:"" help:"Idle connections in memory while set-ups and drains go on, and all timers due at once."`
+	Run     runCommand     `cmd:"" help:"Play a scenario: parts of different habits at the same time, over several processes; keep every second's figures."`
+	Client  clientCommand  `cmd:"" hidden:"" help:"A client process of a scenario."`
 	Plain   plainCommand   `cmd:"" hidden:"" help:"The door with a goroutine and a timer for each connection."`
 }
 
@@ -98,6 +101,7 @@
 	For         time.Duration `help:"How long each part is measured." default:"10s"`
 	Nodes       int           `help:"Stand-in nodes." default:"50"`
 	Cores       int           `help:"Cores for everything." default:"1"`
+	Climb       bool          `help:"Go on with twice as many until a drain is not kept, an answer is missing or memory ends, and tell which."`
 	JSON        bool          `help:"Print one object as the last line."`
 }
 
@@ -111,9 +115,35 @@
 		return err
 	}
 	fmt.Print(r.Table())
+	for c.Climb && ctx.Err() == nil {
+		if why := r.Ends(memoryFree()); why != "" {
+			fmt.Println("the climb ends:", why)
+			break
+		}
+		x.Connections *= 2
+		if r, err = x.Run(ctx, func(format string, args ...any) { fmt.Fprintf(os.Stderr, format+"\n", args...) }); err != nil {
+			return err
+		}
+		fmt.Print(r.Table())
+	}
 	return printJSON(c.JSON, r)
 }
 
+// memoryFree is what the machine could still give, in bytes.
+func memoryFree() float64 {
+	raw, err := os.ReadFile("/proc/meminfo")
+	if err != nil {
+		return math.Inf(1)
+	}
+	for line := range strings.Lines(string(raw)) {
+		if f := strings.Fields(line); len(f) > 1 && f[0] == "MemAvailable:" {
+			kb, _ := strconv.ParseFloat(f[1], 64)
+			return kb * 1024
+		}
+	}
+	return math.Inf(1)
+}
+
 type plainCommand struct {
 	Ping time.Duration `default:"10s"`
 }
@@ -209,7 +239,7 @@
 }
 
 // measured starts a director's process on so many cores.
-func (p *processes) measured(house []byte, cores int, profile string) (load.Process, error) {
+func (p *processes) measured(house []byte, cores int, profile string) (*measuredProcess, error) {
 	file := filepath.Join(p.dir, "load.jsonc")
 	if err := os.WriteFile(file, house, 0o600); err != nil {
 		return nil, err
@@ -251,21 +281,23 @@
 	}
 }
 
-// Figure reads one figure of the process's metrics page; 0 where it has none.
-func (m *measuredProcess) Figure(name string) float64 {
+// Figures reads the process's metrics page; what has labels is left out.
+func (m *measuredProcess) Figures() map[string]float64 {
+	all := map[string]float64{}
 	answer, err := http.Get("http://" + m.told.Metrics + "/metrics")
 	if err != nil {
-		return 0
+		return all
 	}
 	defer answer.Body.Close()
 	lines := bufio.NewScanner(answer.Body)
 	for lines.Scan() {
-		if value, ok := strings.CutPrefix(lines.Text(), name+" "); ok {
-			x, _ := strconv.ParseFloat(value, 64)
-			return x
+		if name, value, ok := strings.Cut(lines.Text(), " "); ok && name != "#" {
+			if x, err := strconv.ParseFloat(value, 64); err == nil {
+				all[name] = x
+			}
 		}
 	}
-	return 0
+	return all
 }
 
 // Kill ends the director: in good order at first, so that a profile is written.
--- a/cmd/fordusher/main.go
+++ b/cmd/fordusher/main.go
@@ -5,10 +5,12 @@
 	"errors"
 	"fmt"
 	"os"
+	"strings"
 
 	"github.com/alecthomas/kong"
 
 	"fordusher/internal/conf"
+	"fordusher/internal/load"
 )
 
 // What each exit code means, for scripts.
@@ -27,13 +29,14 @@
 	Roster rosterCommand `cmd:"" help:"Run a stand-in for the list's source."`
 	Player playerCommand `cmd:"" help:"Run one player: ask for a session and print what is answered."`
 	Load   loadCommand   `cmd:"" help:"Put a load on a director and measure it."`
+	Plot   plotCommand   `cmd:"" help:"Tables and charts from the kept results of a load."`
 	Verify verifyCommand `cmd:"" help:"Check the rules again from kept records."`
 }
 
 func main() {
 	var c commands
 	ctx := kong.Parse(&c, kong.Name("fordusher"), kong.Description("A session front: places and shapes video sessions on streaming servers."),
-		kong.UsageOnError(), kong.Exit(func(code int) {
+		kong.UsageOnError(), kong.Vars{"scenarios": strings.Join(load.Scenarios(), ", ")}, kong.Exit(func(code int) {
 			if code != 0 {
 				code = exitInput
 			}
--- a/cmd/fordusher/main_test.go
+++ b/cmd/fordusher/main_test.go
@@ -14,6 +14,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"fordusher/internal/load"
 	"fordusher/internal/standin/list"
 	"fordusher/internal/transport"
 	"fordusher/internal/wire"
@@ -243,3 +244,37 @@
 		}
 	}
 }
+
+// A scenario with each kind of part, over processes: all that was due is answered, and its results are kept.
+func TestScenarioOverProcesses(t *testing.T) {
+	s := file(t, "small.jsonc", `{"name": "small", "clients": 2, "directors": 2, "nodes": 4, "racks": 2, "warm": "1s", "for": "2s", "room": 1000,
+		"parts": [{"kind": "idle", "connections": 21}, {"kind": "set-ups", "connections": 4, "rate": 50, "length": "200ms"},
+		{"kind": "chatter", "connections": 3, "rate": 20}, {"kind": "reconnects", "connections": 2, "rate": 10, "length": "200ms"},
+		{"kind": "slow-readers", "connections": 4, "rate": 2}, {"kind": "never-readers", "connections": 4, "rate": 2}]}`)
+	kept := filepath.Join(t.TempDir(), "small.zst")
+	if code, out, errs := program(t, "load", "run", s, "-o", kept); code != 0 {
+		t.Fatal(code, out, errs)
+	}
+	a, err := load.LoadArchive(kept)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, x := range a.Summaries() {
+		switch x.Part {
+		case "idle":
+			if x.Open != 21 || x.Lost != 0 {
+				t.Errorf("%+v", x.Sample)
+			}
+		case "set-ups", "chatter", "reconnects":
+			if x.Due < 8 || x.Answered < x.Due*8/10 {
+				t.Errorf("%+v", x.Sample)
+			}
+		}
+	}
+	if code, out, errs := program(t, "plot", kept); code != 0 || !strings.Contains(out, "never-readers") {
+		t.Fatal(code, out, errs)
+	}
+	if code, _, errs := program(t, "load", "run", file(t, "bad.jsonc", `{"name": 3}`)); code != exitInput || !strings.Contains(errs, "bad.jsonc:1:10") {
+		t.Fatal(code, errs)
+	}
+}
--- a/cmd/fordusher/processes.go
+++ b/cmd/fordusher/processes.go
@@ -44,8 +44,8 @@
 	return p.spawnWith(nil, ready, args...)
 }
 
-// spawnWith does so with more in the environment.
-func (p *processes) spawnWith(env []string, ready any, args ...string) (*exec.Cmd, io.WriteCloser, *bufio.Reader, error) {
+// launch starts a process, with more in its environment.
+func (p *processes) launch(env []string, args ...string) (*exec.Cmd, io.WriteCloser, *bufio.Reader, error) {
 	cmd := exec.Command(p.self, args...)
 	cmd.Env = append(os.Environ(), env...)
 	in, err := cmd.StdinPipe()
@@ -65,9 +65,17 @@
 	if err := cmd.Start(); err != nil {
 		return nil, nil, nil, err
 	}
+	return cmd, in, bufio.NewReader(out), nil
+}
+
+// spawnWith launches a process and reads its first line into ready.
+func (p *processes) spawnWith(env []string, ready any, args ...string) (*exec.Cmd, io.WriteCloser, *bufio.Reader, error) {
+	cmd, in, r, err := p.launch(env, args...)
+	if err != nil {
+		return nil, nil, nil, err
+	}
 	overdue := time.AfterFunc(startWithin, func() { cmd.Process.Kill() })
 	defer overdue.Stop()
-	r := bufio.NewReader(out)
 	line, err := r.ReadBytes('\n')
 	if err == nil {
 		err = json.Unmarshal(line, ready)
--- a/internal/daemon/limits_test.go
+++ b/internal/daemon/limits_test.go
@@ -2,14 +2,18 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/netip"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/gobwas/ws"
+
 	"fordusher/internal/transport"
 	"fordusher/internal/wire"
 )
@@ -143,6 +147,30 @@
 	}
 }
 
+// A player that makes the director write and reads nothing is cut off by a reset: an orderly close would
+// wait in the kernel behind what the player does not read, and so would what is unsent.
+func TestNeverReaderIsReset(t *testing.T) {
+	p := open(t, 1)
+	c, err := net.Dial("tcp", p.d.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.(*net.TCPConn).SetReadBuffer(4 << 10)
+	io.WriteString(c, shake)
+	ping := ws.MustCompileFrame(ws.MaskFrame(ws.NewPingFrame(make([]byte, 125))))
+	c.SetWriteDeadline(time.Now().Add(20 * time.Second))
+	for range 200_000 { // the reset ends this
+		if _, err = c.Write(ping); err != nil {
+			break
+		}
+	}
+	if !errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, syscall.EPIPE) {
+		t.Fatal(err)
+	}
+	within(t, "forgotten", func() bool { used, _ := p.d.Room(); return used == 0 })
+}
+
 // The process stood still for longer than three signs of life: nobody is closed for it.
 func TestStallClosesNobody(t *testing.T) {
 	p := open(t, 1, `"ping": "100ms"`, `"ping": "100ms", "ping_players": "200ms"`)
--- /dev/null
+++ b/internal/load/archive.go
@@ -0,0 +1,155 @@
+package load
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/klauspost/compress/zstd"
+)
+
+// A Head begins an archive.
+type Head struct {
+	Scenario *Scenario `json:"scenario"`
+	Cores    int       `json:"cores"` // of the machine
+	At       string    `json:"at"`
+}
+
+// A Row is one second of one run: of a part, or of a director where Part is empty.
+type Row struct {
+	Run    string `json:"run"` // "with", "without"
+	Repeat int    `json:"repeat,omitempty"`
+	Sample
+	Director int   `json:"director,omitempty"`
+	Used     *Used `json:"used,omitempty"`
+	h        *hdrhistogram.Histogram
+}
+
+// Used is what a director's process used.
+type Used struct {
+	CPU    float64 `json:"cpu"`    // cores, in this second
+	RSS    float64 `json:"rss"`    // bytes
+	Heap   float64 `json:"heap"`   // bytes
+	Kernel float64 `json:"kernel"` // bytes that the machine's TCP sockets hold, all processes'
+	Conns  float64 `json:"conns"`  // players connected
+	Late   float64 `json:"late"`   // seconds, the loop's greatest lateness
+	Mode   float64 `json:"mode"`
+}
+
+// An Archive is a scenario's results, every second of them.
+type Archive struct {
+	Head Head
+	Rows []Row
+}
+
+// Save writes an archive as compressed lines of JSON.
+func (a *Archive) Save(file string) (err error) {
+	f, err := os.Create(file)
+	if err != nil {
+		return err
+	}
+	defer func() {
+		if e := f.Close(); err == nil {
+			err = e
+		}
+	}()
+	z, err := zstd.NewWriter(f)
+	if err != nil {
+		return err
+	}
+	e := json.NewEncoder(z)
+	if err := e.Encode(a.Head); err != nil {
+		return err
+	}
+	for i := range a.Rows {
+		if err := e.Encode(&a.Rows[i]); err != nil {
+			return err
+		}
+	}
+	return z.Close()
+}
+
+// LoadArchive reads what Save wrote; a cut or foreign file is an error that names it.
+func LoadArchive(file string) (*Archive, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	z, err := zstd.NewReader(bufio.NewReader(f))
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	defer z.Close()
+	a := &Archive{}
+	d := json.NewDecoder(z)
+	if err := d.Decode(&a.Head); err != nil || a.Head.Scenario == nil {
+		return nil, fmt.Errorf("%s: not a load's results: %v", file, err)
+	}
+	for {
+		var r Row
+		if err := d.Decode(&r); err == io.EOF {
+			return a, nil
+		} else if err != nil {
+			return nil, fmt.Errorf("%s: row %d: %w", file, len(a.Rows)+1, err)
+		}
+		if len(r.Latency) > 0 {
+			if r.h, err = hdrhistogram.Decode(r.Latency); err != nil {
+				return nil, fmt.Errorf("%s: row %d: %w", file, len(a.Rows)+1, err)
+			}
+		}
+		a.Rows = append(a.Rows, r)
+	}
+}
+
+// A Summary is one part over the measured seconds of all repeats of one run.
+type Summary struct {
+	Run string
+	Sample
+	h *hdrhistogram.Histogram
+}
+
+// P is a quantile's latency, in ms.
+func (s *Summary) P(q float64) float64 { return float64(s.h.ValueAtQuantile(q)) / 1000 }
+
+// runs are the runs of an archive, in their order of coming.
+func (a *Archive) runs() (names []string) {
+	seen := map[string]bool{}
+	for _, r := range a.Rows {
+		if !seen[r.Run] {
+			seen[r.Run] = true
+			names = append(names, r.Run)
+		}
+	}
+	return names
+}
+
+// Summaries adds up the measured seconds, by run and part.
+func (a *Archive) Summaries() (all []*Summary) {
+	warm := int(a.Head.Scenario.Warm / time.Second)
+	for _, run := range a.runs() {
+		for _, p := range a.Head.Scenario.Parts {
+			s := &Summary{Run: run, Sample: Sample{Part: p.Name}, h: newHistogram()}
+			seen := false
+			for _, r := range a.Rows {
+				if r.Run != run || r.Part != p.Name || r.Second < warm {
+					continue
+				}
+				seen = true
+				s.add(&r.Sample)
+				s.Open = r.Open
+				if r.h != nil {
+					s.h.Merge(r.h)
+				}
+			}
+			if seen {
+				all = append(all, s)
+			}
+		}
+	}
+	return all
+}
--- a/internal/load/idle.go
+++ b/internal/load/idle.go
@@ -52,8 +52,8 @@
 	RSS() int64
 	// Collect makes it collect its garbage.
 	Collect()
-	// Figure reads a figure of the process's own metrics page.
-	Figure(name string) float64
+	// Figures reads the process's own metrics page.
+	Figures() map[string]float64
 }
 
 // Run opens idle connections to a process and measures what they cost it.
@@ -62,7 +62,8 @@
 		time.Sleep(2 * time.Second)
 		p.Collect()
 		p.Collect()
-		return p.Figure("go_memstats_heap_inuse_bytes"), p.Figure("go_memstats_stack_inuse_bytes"), float64(p.RSS()), socketMemory()
+		f := p.Figures()
+		return f["go_memstats_heap_inuse_bytes"], f["go_memstats_stack_inuse_bytes"], float64(p.RSS()), socketMemory()
 	}
 	heap0, stacks0, rss0, kernel0 := settle()
 	h := &quiet{}
@@ -105,7 +106,7 @@
 	cpu = p.CPU() - cpu
 	r := &IdleResult{Name: name, Connections: len(conns), Heap: (heap - heap0) / n, Stacks: (stacks - stacks0) / n, RSS: (rss - rss0) / n,
 		Kernel: (kernel - kernel0) / n, CPU: float64(cpu.Microseconds()) / 1000 / n * float64(time.Minute) / float64(i.For),
-		Goroutines: int(p.Figure("go_goroutines"))}
+		Goroutines: int(p.Figures()["go_goroutines"])}
 	if lost := h.closed.Load(); lost > 0 {
 		return r, fmt.Errorf("%s: %d connections were lost", name, lost)
 	}
@@ -322,6 +323,23 @@
 	return r, nil
 }
 
+// Ends tells why twice as many connections need not be tried, with so much memory free; empty: they can be.
+func (r *MillionResult) Ends(free float64) string {
+	const grace = 250 // ms, the drain grace that the load's house has
+	answered := r.Together.Played + r.Together.Nacked + r.Together.Errored
+	switch {
+	case r.DrainMost > grace:
+		return fmt.Sprintf("a set-up came to a node %.0f ms after word of its drain", r.DrainMost)
+	case r.Lost > 0:
+		return fmt.Sprintf("%d connections were lost", r.Lost)
+	case answered < int64(r.Together.Due):
+		return fmt.Sprintf("%d of %d set-ups were not answered in time", int64(r.Together.Due)-answered, r.Together.Due)
+	case 2*r.Bytes*float64(r.Connections)*1.5 > free: // a collection needs room beside what is held
+		return fmt.Sprintf("twice as many need %.1f GiB and room for a collection, %.1f GiB are free", 2*r.Bytes*float64(r.Connections)/(1<<30), free/(1<<30))
+	}
+	return ""
+}
+
 // record measures what the loop and the limits hold for a connection, its timer in it, without transport.
 func (x Million) record(house *conf.House) float64 {
 	before := inUse()
--- a/internal/load/plot.go
+++ b/internal/load/plot.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math"
+	"strings"
+	"time"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
@@ -39,3 +41,115 @@
 	p.Legend.Top, p.Legend.Left = true, true
 	return p.Save(16*vg.Centimeter, 10*vg.Centimeter, file)
 }
+
+// Table writes an archive's parts over the measured seconds, what the directors used, and, where the
+// scenario says what to leave out, the ratio of each part's p99 with it to that without.
+func (a *Archive) Table() string {
+	var b strings.Builder
+	s := a.Head.Scenario
+	fmt.Fprintf(&b, "%s: %d directors of %d cores, %d clients, %v after %v, %d repeats; machine of %d cores, %s\n", s.Name, s.Directors, s.Cores,
+		s.Clients, s.For, s.Warm, s.Repeats, a.Head.Cores, a.Head.At)
+	fmt.Fprintf(&b, "%-8s %-14s %9s %9s %8s %8s %8s %8s %8s %9s %9s %9s\n", "run", "part", "due", "answered", "nacked", "errored", "turned", "lost", "open",
+		"p50 ms", "p99 ms", "max ms")
+	all := a.Summaries()
+	for _, x := range all {
+		fmt.Fprintf(&b, "%-8s %-14s %9d %9d %8d %8d %8d %8d %8d", x.Run, x.Part, x.Due, x.Answered, x.Nacked, x.Errored, x.Turned, x.Lost, x.Open)
+		if x.h.TotalCount() > 0 {
+			fmt.Fprintf(&b, " %9.3f %9.3f %9.3f", x.P(50), x.P(99), float64(x.h.Max())/1000)
+		}
+		b.WriteByte('\n')
+	}
+	warm := int(s.Warm / time.Second)
+	for _, run := range a.runs() {
+		var n, cpu, rss, heap, kernel, conns, late float64
+		for _, r := range a.Rows {
+			if r.Run == run && r.Used != nil && r.Second >= warm {
+				n++
+				cpu += r.Used.CPU
+				conns += r.Used.Conns
+				rss, heap, kernel, late = max(rss, r.Used.RSS), max(heap, r.Used.Heap), max(kernel, r.Used.Kernel), max(late, r.Used.Late)
+			}
+		}
+		if n > 0 {
+			fmt.Fprintf(&b, "%-8s a director: %.2f cores, %.0f connections (means); at the most %.1f MB resident, %.1f MB heap, loop late by %.1f ms; all sockets here %.1f MB\n",
+				run, cpu/n, conns/n, rss/1e6, heap/1e6, late*1000, kernel/1e6)
+		}
+	}
+	for _, x := range all {
+		for _, y := range all {
+			if x.Run == "with" && y.Run == "without" && x.Part == y.Part && y.h.TotalCount() > 0 && x.h.TotalCount() > 0 {
+				fmt.Fprintf(&b, "%s, p99 with %s over without: %.2f (p50 %.2f)\n", x.Part, strings.Join(s.Without, ", "), x.P(99)/y.P(99), x.P(50)/y.P(50))
+			}
+		}
+	}
+	return b.String()
+}
+
+// Charts draws an archive into files that begin with a path: p99 by second, what directors used by second.
+func (a *Archive) Charts(path, form string) (drawn []string, err error) {
+	type series struct {
+		file, title, unit string
+		of                func(r *Row) (name string, y float64, ok bool)
+	}
+	part := func(f func(r *Row) float64) func(r *Row) (string, float64, bool) {
+		return func(r *Row) (string, float64, bool) {
+			if r.Part == "" || r.h == nil {
+				return "", 0, false
+			}
+			return r.Part + " " + r.Run, f(r), true
+		}
+	}
+	used := func(f func(u *Used) float64) func(r *Row) (string, float64, bool) {
+		return func(r *Row) (string, float64, bool) {
+			if r.Used == nil {
+				return "", 0, false
+			}
+			return fmt.Sprintf("director %d %s", r.Director, r.Run), f(r.Used), true
+		}
+	}
+	for _, x := range []series{
+		{"p99", "p99 of each second", "ms from the due time", part(func(r *Row) float64 { return float64(r.h.ValueAtQuantile(99)) / 1000 })},
+		{"answers", "answers as wished", "a second", part(func(r *Row) float64 { return float64(r.Answered) })},
+		{"cpu", "processor", "cores", used(func(u *Used) float64 { return u.CPU })},
+		{"memory", "resident memory", "MB", used(func(u *Used) float64 { return u.RSS / 1e6 })},
+		{"connections", "players connected", "", used(func(u *Used) float64 { return u.Conns })},
+	} {
+		lines := map[string]plotter.XYs{}
+		var names []string
+		for i := range a.Rows {
+			r := &a.Rows[i]
+			name, y, ok := x.of(r)
+			if !ok || r.Repeat > 0 { // one repeat is enough to see the course
+				continue
+			}
+			if lines[name] == nil {
+				names = append(names, name)
+			}
+			lines[name] = append(lines[name], plotter.XY{X: float64(r.Second), Y: y})
+		}
+		if len(names) == 0 {
+			continue
+		}
+		p := plot.New()
+		p.Title.Text = a.Head.Scenario.Name + ": " + x.title
+		p.X.Label.Text, p.Y.Label.Text = "seconds", x.unit
+		p.Y.Min = 0
+		p.Add(plotter.NewGrid())
+		for i, name := range names {
+			l, err := plotter.NewLine(lines[name])
+			if err != nil {
+				return drawn, fmt.Errorf("%s: %w", name, err)
+			}
+			l.Color, l.Dashes = plotutil.Color(i), plotutil.Dashes(i/7)
+			p.Add(l)
+			p.Legend.Add(name, l)
+		}
+		p.Legend.Top = true
+		file := path + "-" + x.file + "." + form
+		if err := p.Save(16*vg.Centimeter, 9*vg.Centimeter, file); err != nil {
+			return drawn, err
+		}
+		drawn = append(drawn, file)
+	}
+	return drawn, nil
+}
--- /dev/null
+++ b/internal/load/scenario.go
@@ -0,0 +1,153 @@
+package load
+
+import (
+	"embed"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"fordusher/internal/conf"
+)
+
+// A Scenario is a load made of parts that run at the same time, told in JSON with comments.
+type Scenario struct {
+	Name      string        `json:"name"`
+	Directors int           `json:"directors"` // processes
+	Cores     int           `json:"cores"`     // of each
+	Clients   int           `json:"clients"`   // processes over which the parts are dealt
+	Nodes     int           `json:"nodes"`
+	Racks     int           `json:"racks"`
+	Titles    int           `json:"titles"`
+	Playing   int           `json:"playing"` // sessions that the nodes have room for, several times over
+	Ping      time.Duration `json:"ping"`    // a director asks a player for a sign of life so often
+	Room      int           `json:"room"`    // players' connections that a director takes
+	Warm      time.Duration `json:"warm"`    // not measured
+	For       time.Duration `json:"for"`
+	Repeats   int           `json:"repeats"`
+	Seed      uint64        `json:"seed"`
+	Parts     []Part        `json:"parts"`
+	Without   []string      `json:"without"` // parts left out of a second run beside each, for the ratio
+}
+
+// A Part is clients of one habit.
+type Part struct {
+	Name        string        `json:"name"`
+	Kind        string        `json:"kind"`
+	Connections int           `json:"connections"`
+	Rate        float64       `json:"rate"`   // a second, of all its connections together
+	Length      time.Duration `json:"length"` // of a session
+	Bytes       int           `json:"bytes"`  // that a burst makes the director answer
+}
+
+// The kinds of parts.
+const (
+	KindIdle       = "idle"          // connected, silent, answering signs of life
+	KindSetups     = "set-ups"       // asks for sessions at a rate
+	KindChatter    = "chatter"       // plays, and repeats its request at a rate
+	KindReconnects = "reconnects"    // comes, asks, leaves, at a rate
+	KindSlow       = "slow-readers"  // makes the director write, reads a byte a second
+	KindNever      = "never-readers" // makes the director write, reads nothing
+)
+
+var kinds = []string{KindIdle, KindSetups, KindChatter, KindReconnects, KindSlow, KindNever}
+
+//go:embed scenarios/*.jsonc
+var shipped embed.FS
+
+// Scenarios are the names of those that ship with the program.
+func Scenarios() (names []string) {
+	files, _ := shipped.ReadDir("scenarios")
+	for _, f := range files {
+		names = append(names, strings.TrimSuffix(f.Name(), ".jsonc"))
+	}
+	return names
+}
+
+// LoadScenario reads a scenario that ships with the program, by its name, or one from a file; what is wrong
+// with it comes back as conf.Problems.
+func LoadScenario(name string) (*Scenario, error) {
+	if slices.Contains(Scenarios(), name) {
+		file := "scenarios/" + name + ".jsonc"
+		text, err := shipped.ReadFile(file)
+		if err != nil {
+			return nil, err
+		}
+		return ReadScenario(file, text)
+	}
+	text, err := os.ReadFile(name)
+	if err != nil {
+		return nil, err
+	}
+	return ReadScenario(name, text)
+}
+
+// ReadScenario reads a scenario from its text.
+func ReadScenario(file string, text []byte) (*Scenario, error) {
+	r, o := conf.Parse(file, text)
+	if err := r.Err(); err != nil {
+		return nil, err
+	}
+	s := &Scenario{
+		Name:      o.Text("name", "", true),
+		Directors: o.Whole("directors", 1, 1, 300, false),
+		Cores:     o.Whole("cores", 1, 1, 1000, false),
+		Clients:   o.Whole("clients", 1, 1, 300, false),
+		Nodes:     o.Whole("nodes", 20, 1, 1000, false),
+		Racks:     o.Whole("racks", 4, 1, 1000, false),
+		Titles:    o.Whole("titles", 50, 1, 100_000, false),
+		Playing:   o.Whole("playing", 1000, 1, 10_000_000, false),
+		Ping:      o.Span("ping", 10*time.Second, 10*time.Millisecond, time.Hour, false),
+		Room:      o.Whole("room", 18_000, 1, 10_000_000, false),
+		Warm:      o.Span("warm", 3*time.Second, 0, time.Hour, false),
+		For:       o.Span("for", 10*time.Second, time.Second, time.Hour, false),
+		Repeats:   o.Whole("repeats", 1, 1, 100, false),
+		Seed:      uint64(o.Whole("seed", 1, 0, 1<<31, false)),
+	}
+	if s.Racks > s.Nodes {
+		r.Wrong(o.Where("racks"), "there are %d racks for %d nodes", s.Racks, s.Nodes)
+	}
+	var names []string
+	o.Objects("parts", true, func(_ int, p *conf.Object) {
+		x := Part{Kind: p.Text("kind", "", true)}
+		x.Name = p.Text("name", x.Kind, false)
+		x.Connections = p.Whole("connections", 1, 1, 10_000_000, false)
+		x.Rate = p.Number("rate", 0, 0, 1_000_000, slices.Contains([]string{KindSetups, KindChatter, KindReconnects}, x.Kind))
+		x.Length = p.Span("length", time.Second, time.Millisecond, time.Hour, false)
+		x.Bytes = p.Bytes("bytes", 200<<10, 1, 1<<30)
+		if x.Kind != "" && !slices.Contains(kinds, x.Kind) {
+			r.Wrong(p.Where("kind"), "unknown kind %q; the kinds are %s", x.Kind, strings.Join(kinds, ", "))
+		}
+		if slices.Contains(names, x.Name) {
+			r.Wrong(p.Where("name"), "two parts are called %q; give one of them a name of its own", x.Name)
+		}
+		names = append(names, x.Name)
+		p.Done()
+		s.Parts = append(s.Parts, x)
+	})
+	s.Without = o.Texts("without", false)
+	for _, w := range s.Without {
+		if !slices.Contains(names, w) {
+			r.Wrong(o.Where("without"), "there is no part %q", w)
+		}
+	}
+	if len(s.Parts) == 0 && o.Has("parts") {
+		r.Wrong(o.Where("parts"), "a scenario needs a part")
+	}
+	o.Done()
+	if err := r.Err(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// deal gives a client its share of a part: connections and rate divided as evenly as they go.
+func (p Part) deal(client, clients int) Part {
+	share := p.Connections / clients
+	if client < p.Connections%clients {
+		share++
+	}
+	p.Rate *= float64(share) / float64(p.Connections)
+	p.Connections = share
+	return p
+}
--- /dev/null
+++ b/internal/load/scenario_test.go
@@ -0,0 +1,102 @@
+package load
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"pgregory.net/rapid"
+)
+
+func TestShippedScenariosAreRead(t *testing.T) {
+	names := Scenarios()
+	if len(names) < 5 {
+		t.Fatal(names)
+	}
+	for _, name := range names {
+		if s, err := LoadScenario(name); err != nil || s.Name != name {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+func TestScenarioMistakesAreNamed(t *testing.T) {
+	for _, x := range []struct{ text, want string }{
+		{`{"name": "a", "parts": [{"kind": "idel"}]}`, `s:1:34: unknown kind "idel"; the kinds are idle,`},
+		{`{"name": "a", "parts": [{"kind": "set-ups"}]}`, `s:1:25: "rate" is missing`},
+		{"{\"name\": \"a\", // why\n \"parts\": [{\"kind\": \"idle\"}], \"without\": [\"others\"]}", `s:2:42: there is no part "others"`},
+		{`{"name": "a", "parts": [{"kind": "idle"}, {"kind": "idle"}]}`, `two parts are called "idle"`},
+		{`{"name": "a", "parts": [], "nodes": 2, "racks": 3}`, `there are 3 racks for 2 nodes`},
+		{`{"parts": [{"kind": "idle", "conections": 3}]}`, `"conections"`},
+	} {
+		_, err := ReadScenario("s", []byte(x.text))
+		if err == nil || !strings.Contains(err.Error(), x.want) {
+			t.Errorf("%s\n got %v\nwant %s", x.text, err, x.want)
+		}
+	}
+}
+
+// Whatever is dealt: no connection is lost or made up, and the rates of all add up.
+func TestDeal(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := Part{Connections: rapid.IntRange(1, 1000).Draw(t, "n"), Rate: rapid.Float64Range(0, 1e4).Draw(t, "rate")}
+		clients := rapid.IntRange(1, 20).Draw(t, "clients")
+		n, rate := 0, 0.0
+		for i := range clients {
+			x := p.deal(i, clients)
+			n += x.Connections
+			rate += x.Rate
+		}
+		if n != p.Connections || rate < p.Rate*0.999 || rate > p.Rate*1.001 {
+			t.Fatal(n, rate)
+		}
+	})
+}
+
+// An archive comes back as it was, sums up the measured seconds alone, and one that was cut off is named.
+func TestArchive(t *testing.T) {
+	s := &Scenario{Name: "x", Warm: time.Second, For: 2 * time.Second, Parts: []Part{{Name: "p", Kind: KindSetups}}}
+	a := &Archive{Head: Head{Scenario: s, Cores: 4}}
+	for second := range 3 {
+		h := newHistogram()
+		h.RecordValue(int64(1000 * (second + 1)))
+		raw, err := h.Encode(hdrhistogram.V2CompressedEncodingCookieBase)
+		if err != nil {
+			t.Fatal(err)
+		}
+		a.Rows = append(a.Rows, Row{Run: "with", Sample: Sample{Second: second, Part: "p", Due: 10, Answered: 1, Latency: raw}},
+			Row{Run: "with", Sample: Sample{Second: second}, Used: &Used{CPU: 0.5, RSS: 1e6}})
+	}
+	dir := t.TempDir()
+	file := filepath.Join(dir, "a.zst")
+	if err := a.Save(file); err != nil {
+		t.Fatal(err)
+	}
+	b, err := LoadArchive(file)
+	if err != nil || len(b.Rows) != 6 {
+		t.Fatal(err)
+	}
+	sum := b.Summaries()
+	if len(sum) != 1 || sum[0].Due != 20 || sum[0].P(100) < 2.9 || sum[0].P(0) < 1.9 {
+		t.Fatalf("%+v", sum[0])
+	}
+	if !strings.Contains(b.Table(), "0.50 cores") {
+		t.Fatal(b.Table())
+	}
+	drawn, err := b.Charts(filepath.Join(dir, "x"), "svg")
+	if err != nil || len(drawn) != 5 {
+		t.Fatal(drawn, err)
+	}
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cut := filepath.Join(dir, "cut.zst")
+	os.WriteFile(cut, raw[:len(raw)*2/3], 0o600)
+	if _, err := LoadArchive(cut); err == nil || !strings.Contains(err.Error(), "cut.zst") {
+		t.Fatal(err)
+	}
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -390,6 +390,11 @@
 	if c.why == nil {
 		c.why = why
 	}
+	if errors.Is(why, ErrSlow) && c.fd >= 0 {
+		// The peer's window is shut: a closing that waits for it would leave what is unsent in the kernel
+		// for minutes, and the peer would not hear of it.
+		setLinger(c.fd)
+	}
 	c.mu.Unlock()
 	c.np.Close()
 }
