--- a/cmd/fordusher/day.go
+++ b/cmd/fordusher/day.go
@@ -11,12 +11,15 @@
 
 	"github.com/rs/zerolog"
 
+	"fordusher/internal/conf"
 	"fordusher/internal/day"
 	"fordusher/internal/witness"
 )
 
 type dayCommand struct {
 	Script    string        `help:"The day's script; without it the bad day that ships with the program." type:"path"`
+	Conf      string        `help:"A director's file with nodes and titles, played on stand-ins in place of the script's own fleet." type:"path"`
+	Plan      string        `help:"With --conf: list updates in the course of the day, as import haproxy --plan writes them." type:"path"`
 	Requests  int           `help:"Viewers who come, over what the script says."`
 	Directors int           `help:"Directors, over what the script says."`
 	Nodes     int           `help:"Nodes, over what the script says."`
@@ -55,6 +58,9 @@
 	}
 	opt := day.Options{Seed: c.Seed, Log: log, Slack: c.Slack, Progress: func(line string) { fmt.Fprintln(os.Stderr, line) }}
 	opt.Module = day.Baselines[c.Baseline]
+	if err := c.imported(&opt); err != nil {
+		return err
+	}
 	if c.Processes && opt.Module != nil {
 		return errors.New("a baseline runs in the day's own process only: leave out --processes or --baseline")
 	}
@@ -78,6 +84,26 @@
 	return report(r, c.JSON)
 }
 
+// imported reads what a day plays in place of its script's fleet.
+func (c *dayCommand) imported(opt *day.Options) (err error) {
+	switch {
+	case c.Conf == "" && c.Plan != "":
+		return badInput{errors.New("--plan needs --conf: it changes the fleet that is there")}
+	case c.Conf == "":
+		return nil
+	case c.Processes:
+		return badInput{errors.New("--conf is played in the day's own process: leave out --processes")}
+	}
+	if opt.House, err = conf.Load(c.Conf); err != nil || c.Plan == "" {
+		return err
+	}
+	lines, at, err := readPlan(c.Plan)
+	for i, l := range lines {
+		opt.Plan = append(opt.Plan, day.Told{At: at[i], Entry: *l.Entry})
+	}
+	return err
+}
+
 func report(r *day.Result, asJSON bool) error {
 	r.Print(os.Stdout)
 	if asJSON {
--- a/cmd/fordusher/main.go
+++ b/cmd/fordusher/main.go
@@ -28,6 +28,7 @@
 	Node   nodeCommand   `cmd:"" help:"Run stand-in nodes."`
 	Roster rosterCommand `cmd:"" help:"Run a stand-in for the list's source."`
 	Player playerCommand `cmd:"" help:"Run one player: ask for a session and print what is answered."`
+	Import importCommand `cmd:"" help:"Make a director's file of another program's configuration, and account for every line."`
 	Load   loadCommand   `cmd:"" help:"Put a load on a director and measure it."`
 	Plot   plotCommand   `cmd:"" help:"Tables and charts from the kept results of a load."`
 	Verify verifyCommand `cmd:"" help:"Check the rules again from kept records."`
@@ -47,7 +48,13 @@
 		return
 	}
 	var problems conf.Problems
+	var input badInput
 	switch {
+	case errors.Is(err, errSkipped):
+		os.Exit(exitSkipped)
+	case errors.As(err, &input):
+		fmt.Fprintln(os.Stderr, "fordusher:", err)
+		os.Exit(exitInput)
 	case errors.Is(err, errBroken):
 		os.Exit(exitBroken)
 	case errors.As(err, &problems):
--- a/cmd/fordusher/standins.go
+++ b/cmd/fordusher/standins.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"time"
 
+	"fordusher/internal/conf"
 	"fordusher/internal/standin/list"
 	"fordusher/internal/transport"
 	"fordusher/internal/wire"
@@ -17,23 +18,54 @@
 )
 
 type rosterCommand struct {
-	File string `arg:"" help:"Nodes and titles: {\"nodes\": [...], \"titles\": [...]}, as in the list's messages." type:"path"`
+	File string `arg:"" help:"Nodes and titles: {\"nodes\": [...], \"titles\": [...]}, as in the list's messages, or a director's file that has them." type:"path"`
+	Plan string `help:"Carry out a plan of import haproxy, step by step, and tell each." type:"path"`
 }
 
-// Run starts a stand-in for the list's source, prints its address, and takes changed nodes on standard
-// input, one entry a line, until that ends.
-func (c *rosterCommand) Run() error {
+// read reads the list's nodes and titles from either form of file.
+func (c *rosterCommand) read() (all wire.List, err error) {
 	raw, err := os.ReadFile(c.File)
 	if err != nil {
-		return err
+		return all, err
 	}
-	var all wire.List
 	if err := json.Unmarshal(raw, &all); err != nil {
-		return fmt.Errorf("%s: %w", c.File, err)
+		house, bad := conf.Read(c.File, raw)
+		if bad != nil {
+			return all, fmt.Errorf("neither a list (%v) nor a director's file: %w", err, bad)
+		}
+		all = wire.List{Nodes: house.Nodes, Titles: house.Titles}
 	}
 	all.Type = wire.Whole
 	if _, err := wire.DecodeList(wire.Encode(all)); err != nil {
-		return fmt.Errorf("%s: %w", c.File, err)
+		return all, fmt.Errorf("%s: %w", c.File, err)
+	}
+	return all, nil
+}
+
+// carryOut lets the list say what a plan has, when it has it.
+func carryOut(source *list.Source, lines []planLine, at []time.Duration) {
+	began := time.Now()
+	for i, l := range lines {
+		time.Sleep(at[i] - time.Since(began))
+		source.Set(*l.Entry, 0, 0)
+		fmt.Fprintf(os.Stderr, "%v: %s %s\n", at[i], l.What, l.Entry.Node)
+	}
+	fmt.Fprintln(os.Stderr, "the plan is carried out")
+}
+
+// Run starts a stand-in for the list's source, prints its address, and takes changed nodes on standard
+// input, one entry a line, until that ends.
+func (c *rosterCommand) Run() error {
+	all, err := c.read()
+	if err != nil {
+		return err
+	}
+	var lines []planLine
+	var at []time.Duration
+	if c.Plan != "" {
+		if lines, at, err = readPlan(c.Plan); err != nil {
+			return err
+		}
 	}
 	source, err := list.Open(&witness.Recorder{}, all.Nodes, all.Titles)
 	if err != nil {
@@ -41,6 +73,9 @@
 	}
 	defer source.Close()
 	json.NewEncoder(os.Stdout).Encode(ready{Listen: source.Address()})
+	if c.Plan != "" {
+		go carryOut(source, lines, at)
+	}
 	in := bufio.NewScanner(os.Stdin)
 	for line := 1; in.Scan(); line++ {
 		var e wire.Entry
--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"time"
 
 	"fordusher/closing"
@@ -21,9 +22,11 @@
 type House struct {
 	Name     string
 	Peers    policy.Peers
-	Listen   string // address for players
-	Metrics  string // address for metrics; empty: none
-	List     string // address of the list's source
+	Listen   string       // address for players
+	Metrics  string       // address for metrics; empty: none
+	List     string       // address of the list's source; empty: there is none, Nodes and Titles are all there is
+	Nodes    []wire.Entry // in force until the list's source is heard
+	Titles   []wire.Title
 	Tariffs  []director.Tariff
 	Ladder   policy.Ladder
 	Fleet    policy.Fleet
@@ -81,8 +84,8 @@
 	h.who(r, o.Object("director", true))
 	h.Listen = address(r, o, "listen", true)
 	h.Metrics = address(r, o, "metrics", false)
-	list := o.Object("list", true)
-	h.List = address(r, list, "address", true)
+	list := o.Object("list", !o.Has("nodes"))
+	h.List = address(r, list, "address", !o.Has("nodes"))
 	askWithin := list.Span("ask_within", 0, time.Second, time.Hour, false)
 	list.Done()
 	h.ladder(r, o.Object("ladder", true))
@@ -108,6 +111,8 @@
 	}
 	c.Done()
 	h.door(r, o.Object("limits", false))
+	h.nodes(r, o.Object("nodes", false))
+	h.titles(r, o.Object("titles", false))
 	o.Done()
 	if err := r.Err(); err != nil {
 		return nil, err
@@ -163,7 +168,10 @@
 }
 
 func (h *House) tariffs(r *Reader, o *Object) {
-	last := max(0, len(h.Ladder.Rates)-1)
+	last := len(h.Ladder.Rates) - 1
+	if last < 0 { // not filled in yet, which is one mistake and not many
+		last = 1e6
+	}
 	for _, name := range o.Names() {
 		t := o.Object(name, true)
 		x := policy.Tariff{
@@ -195,14 +203,14 @@
 
 func (h *House) fleet(r *Reader, o *Object) {
 	h.Fleet = policy.Fleet{
-		Cells:       o.Whole("cells", 1, 1, 1e6, true),
-		Racks:       o.Whole("racks", 1, 1, 1e6, true),
+		Cells:       o.Whole("cells", 0, 1, 1e6, true),
+		Racks:       o.Whole("racks", 0, 1, 1e6, true),
 		LinkUnit:    o.Rate("link_unit", 0, true),
 		Uplink:      o.Rate("uplink", 0, true),
 		Crossing:    o.Number("crossing", 0, 0, 1, false),
 		RefusesFrom: o.Number("refuses_from", 0, 0, 10, false),
 	}
-	if h.Fleet.Racks > h.Fleet.Cells {
+	if h.Fleet.Racks > h.Fleet.Cells && h.Fleet.Cells > 0 {
 		r.Wrong(o.Where("racks"), "there are %d racks, but only %d cells: a cell lies in one rack", h.Fleet.Racks, h.Fleet.Cells)
 	}
 	m := o.Object("machines", true)
@@ -216,6 +224,59 @@
 	o.Done()
 }
 
+// nodes reads the nodes that a director knows from its start.
+func (h *House) nodes(r *Reader, o *Object) {
+	last := h.lastCell()
+	addresses := map[string]string{}
+	for _, name := range o.Names() {
+		n := o.Object(name, true)
+		e := wire.Entry{
+			Node:    name,
+			Address: address(r, n, "address", true),
+			State:   n.Text("state", wire.Up, false),
+			Kind:    n.Text("kind", "", true),
+			Zone:    n.Text("zone", "", false),
+			Weight:  n.Number("weight", 1, 1e-6, 1e6, false),
+			Cell:    n.Whole("cell", 0, 0, last, true),
+		}
+		n.Done()
+		if e.State != wire.Up && e.State != wire.Draining {
+			r.Wrong(n.Where("state"), "state is %q; a node here is %q or %q", e.State, wire.Up, wire.Draining)
+		}
+		if e.Kind != "" && !slices.Contains(h.Machines, e.Kind) && len(h.Machines) > 0 {
+			r.Wrong(n.Where("kind"), "fleet.machines has no %q", e.Kind)
+		}
+		if other, twice := addresses[e.Address]; twice && e.Address != "" {
+			r.Wrong(n.Where("address"), "node %q has this address already", other)
+		}
+		addresses[e.Address] = name
+		h.Nodes = append(h.Nodes, e)
+	}
+	o.Done()
+}
+
+// lastCell is the highest number of a cell; where their number is not filled in yet, any will do.
+func (h *House) lastCell() int {
+	if h.Fleet.Cells == 0 {
+		return 1e6
+	}
+	return h.Fleet.Cells - 1
+}
+
+// titles reads where titles lie.
+func (h *House) titles(r *Reader, o *Object) {
+	for _, name := range o.Names() {
+		t := o.Object(name, true)
+		h.Titles = append(h.Titles, wire.Title{
+			Title:  name,
+			Base:   t.Whole("base", 0, 0, h.lastCell(), true),
+			Copies: t.Whole("copies", 1, 1, h.lastCell()+1, true),
+		})
+		t.Done()
+	}
+	o.Done()
+}
+
 func (h *House) ramp(o *Object) {
 	h.Ramp.Warmup = o.Span("warmup", 0, 0, time.Hour, true)
 	h.Ramp.ColdFrom = o.Number("cold_from", 0.5, 0.001, 1, true)
--- a/internal/conf/reader.go
+++ b/internal/conf/reader.go
@@ -167,16 +167,24 @@
 	return keys
 }
 
-// value finds a key's value; need says that it may not be missing.
+// value finds a key's value; need says that it may not be missing. null is a blank that somebody has left to
+// be filled in.
 func (o *Object) value(name string, need bool) (hujson.Value, bool) {
 	o.asked[name] = true
 	m, ok := o.members[name]
 	if !ok && need && !o.absent {
 		o.r.Wrong(o.At, "%q is missing", name)
 	}
+	if l, isLiteral := m.Value.Value.(hujson.Literal); ok && isLiteral && l.Kind() == 'n' {
+		o.r.Wrong(m.Value.StartOffset, "%q is not filled in yet", name)
+		return m.Value, false
+	}
 	return m.Value, ok
 }
 
+// Skip leaves a key to somebody else.
+func (o *Object) Skip(name string) { o.asked[name] = true }
+
 // Object reads a key that holds an object; without it an empty one is returned, and its own keys that
 // have to be there are not asked for.
 func (o *Object) Object(name string, need bool) *Object {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -73,8 +73,13 @@
 	if err != nil {
 		return nil, err
 	}
+	if len(house.Nodes) > 0 || len(house.Titles) > 0 { // until the list's source is heard, if there is one
+		d.inbox.put(item{in: director.ListSaid{Message: wire.List{Type: wire.Whole, Nodes: house.Nodes, Titles: house.Titles}}})
+	}
 	go d.run()
-	go d.follow()
+	if house.List != "" {
+		go d.follow()
+	}
 	log.Info().Str("listen", d.server.Address()).Msg(house.Describe())
 	return d, nil
 }
--- a/internal/day/rig.go
+++ b/internal/day/rig.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"text/template"
@@ -38,6 +39,14 @@
 	Wrap     func(d director.Decider) director.Decider         // for tests that break it; may be nil
 	Launch   Launcher                                          // nil: everything in this process
 	Slack    time.Duration                                     // of the witness; 0: 100 ms
+	House    *conf.House                                       // a director's file with nodes and titles to play instead of the script's own; may be nil
+	Plan     []Told                                            // what the list says in the course of the day
+}
+
+// Told is a line of the list at a time of the day.
+type Told struct {
+	At    time.Duration
+	Entry wire.Entry
 }
 
 // A Director that runs somewhere.
@@ -88,7 +97,10 @@
 	list     *list.Source
 	crowd    *player.Crowd
 	machines []node.Machine
+	entries  []wire.Entry // of the machines, where they come from a director's file
 	titles   []wire.Title
+	worth    []float64
+	racks    int
 	facts    houseFacts
 	first    *conf.House
 
@@ -114,7 +126,7 @@
 func Run(ctx context.Context, s *Script, opt Options) (*Result, error) {
 	g := &rig{
 		script: s, opt: opt, record: &witness.Recorder{}, chance: rand.New(rand.NewPCG(opt.Seed, 2)),
-		busy: map[string]bool{}, rate: 1,
+		busy: map[string]bool{}, rate: 1, worth: worth,
 	}
 	if err := g.build(); err != nil {
 		g.close()
@@ -128,6 +140,132 @@
 
 // build lays out the site, and starts the nodes, the list and the directors.
 func (g *rig) build() error {
+	var site node.Site
+	var err error
+	if g.opt.House == nil {
+		site = g.draw()
+	} else if site, err = g.imported(); err != nil {
+		return err
+	}
+	g.racks = len(site.Uplinks)
+	fell := func(name string) { g.say("%s was pushed over and stays down", name) }
+	if g.opt.Launch != nil {
+		g.fleet, err = g.opt.Launch.Fleet(g.opt.Seed, site, g.machines, g.record, fell)
+	} else {
+		g.fleet, err = node.Open(node.NewFarm(g.opt.Seed, site, g.machines), g.record, fell)
+	}
+	if err != nil {
+		return err
+	}
+	var entries []wire.Entry
+	for i, m := range g.machines {
+		switch {
+		case g.entries == nil:
+			entries = append(entries, g.entry(i, m, wire.Up))
+		case g.entries[i].State == wire.Removed: // the plan adds it
+			g.fleet.Do(node.Fault{Node: m.Name, Die: true})
+		default:
+			entries = append(entries, g.entry(i, m, g.entries[i].State))
+		}
+	}
+	if g.list, err = list.Open(g.record, entries, g.titles); err != nil {
+		return err
+	}
+	for i := range g.script.Directors {
+		p := &post{name: "director-" + strconv.Itoa(i)}
+		g.directors = append(g.directors, p)
+		if err := g.start(i); err != nil {
+			return err
+		}
+	}
+	g.crowd = &player.Crowd{Habit: g.script.Habit, Record: g.record, Pick: g.pick}
+	return nil
+}
+
+// imported lays out the site that a director's file describes: its nodes behind stand-ins, its titles.
+func (g *rig) imported() (node.Site, error) {
+	h := g.opt.House
+	if len(h.Nodes) == 0 || len(h.Titles) == 0 {
+		return node.Site{}, fmt.Errorf("the director's file has %d nodes and %d titles: a day needs some of both", len(h.Nodes), len(h.Titles))
+	}
+	g.titles = h.Titles
+	all := slices.Clone(h.Nodes)
+	known := map[string]bool{}
+	for _, e := range all {
+		known[e.Node] = true
+		g.busy[e.Node] = e.State != wire.Up // troubles bring nodes back up, and these are not to be
+	}
+	for _, t := range g.opt.Plan {
+		if !known[t.Entry.Node] {
+			known[t.Entry.Node] = true
+			e := t.Entry
+			e.State = wire.Removed
+			all = append(all, e)
+		}
+		g.busy[t.Entry.Node] = true
+	}
+	for _, e := range all {
+		kind := slices.Index(h.Machines, e.Kind)
+		if kind < 0 {
+			return node.Site{}, fmt.Errorf("node %s is of kind %q, which fleet.machines does not have", e.Node, e.Kind)
+		}
+		g.machines = append(g.machines, node.Machine{Name: e.Node, Kind: e.Kind, Rack: e.Cell % h.Fleet.Racks, Places: int(h.Ramp.Places[kind]),
+			Link: h.Fleet.LinkUnit * e.Weight * (0.85 + 0.3*g.chance.Float64()), Cores: 2, Work: 3 * time.Millisecond})
+	}
+	g.entries = all
+	site := node.Site{Warmup: h.Ramp.Warmup, ColdFrom: h.Ramp.ColdFrom, Multiple: h.Ramp.Multiple, TipAfter: h.Ramp.TipAfter,
+		Late: h.Tidings.Late, Every: h.Tidings.Every, Refresh: 300 * time.Millisecond, Worth: g.worth, StallCost: stallCost}
+	if len(h.Ladder.Worth) > 0 {
+		g.worth, site.Worth = h.Ladder.Worth, h.Ladder.Worth
+	} else {
+		g.worth = make([]float64, len(h.Ladder.Rates))
+		for i, r := range h.Ladder.Rates {
+			g.worth[i] = r / h.Ladder.Rates[len(h.Ladder.Rates)-1]
+		}
+		site.Worth = g.worth
+	}
+	for range h.Fleet.Racks {
+		site.Uplinks = append(site.Uplinks, h.Fleet.Uplink*(0.85+0.3*g.chance.Float64()))
+	}
+	return site, nil
+}
+
+// tell lets the list say what the plan has for the day, machines that are added starting cold.
+func (g *rig) tell(ctx context.Context) {
+	at := map[string]int{}
+	for i, m := range g.machines {
+		at[m.Name] = i
+	}
+	down := map[string]bool{}
+	for i, e := range g.entries {
+		down[g.machines[i].Name] = e.State == wire.Removed
+	}
+	for _, t := range g.opt.Plan {
+		if !sleep(ctx, t.At-time.Since(g.began)) {
+			return
+		}
+		i := at[t.Entry.Node]
+		m := g.machines[i]
+		born := time.Duration(0)
+		if down[m.Name] && t.Entry.State != wire.Removed {
+			g.fleet.Do(node.Fault{Node: m.Name, Start: true})
+			born = witness.Clock()
+			down[m.Name] = false
+		}
+		g.mu.Lock()
+		g.entries[i] = t.Entry
+		g.mu.Unlock()
+		g.say("the list: %s %s", t.Entry.Node, t.Entry.State)
+		g.list.Set(g.entry(i, m, t.Entry.State), born, 0)
+		if t.Entry.State == wire.Removed {
+			g.fleet.Do(node.Fault{Node: m.Name, Die: true})
+			down[m.Name] = true
+		}
+	}
+}
+
+// draw lays out a site of the script's own.
+func (g *rig) draw() node.Site {
 	s := g.script
 	const middle = 703.0
 	concurrent := float64(s.Requests) / s.Length.Seconds() * s.Mean.Seconds()
@@ -153,40 +291,22 @@
 		Late: 600 * time.Millisecond, Every: 2 * time.Second, Refresh: 300 * time.Millisecond,
 		Worth: worth, StallCost: stallCost,
 	}
-	fell := func(name string) { g.say("%s was pushed over and stays down", name) }
-	var err error
-	if g.opt.Launch != nil {
-		g.fleet, err = g.opt.Launch.Fleet(g.opt.Seed, site, g.machines, g.record, fell)
-	} else {
-		g.fleet, err = node.Open(node.NewFarm(g.opt.Seed, site, g.machines), g.record, fell)
-	}
-	if err != nil {
-		return err
-	}
 	copies := max(min(3, s.Nodes), s.Nodes/5)
 	for i := range s.Titles {
 		g.titles = append(g.titles, wire.Title{Title: "title-" + strconv.Itoa(i), Base: g.chance.IntN(s.Nodes), Copies: copies})
 	}
-	var entries []wire.Entry
-	for i, m := range g.machines {
-		entries = append(entries, g.entry(i, m, wire.Up))
-	}
-	if g.list, err = list.Open(g.record, entries, g.titles); err != nil {
-		return err
-	}
-	for i := range s.Directors {
-		p := &post{name: "director-" + strconv.Itoa(i)}
-		g.directors = append(g.directors, p)
-		if err := g.start(i); err != nil {
-			return err
-		}
-	}
-	g.crowd = &player.Crowd{Habit: s.Habit, Record: g.record, Pick: g.pick}
-	return nil
+	return site
 }
 
 func (g *rig) entry(cell int, m node.Machine, state string) wire.Entry {
 	start, _ := g.fleet.Start(m.Name)
+	if g.entries != nil {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		e := g.entries[cell]
+		e.Address, e.State, e.Start = g.fleet.Address(m.Name), state, start
+		return e
+	}
 	return wire.Entry{Node: m.Name, Address: g.fleet.Address(m.Name), State: state, Kind: m.Kind, Zone: "hall",
 		Start: start, Weight: 1, Cell: cell}
 }
@@ -194,6 +314,12 @@
 // start puts a director at its post.
 func (g *rig) start(i int) error {
 	p := g.directors[i]
+	if g.opt.House != nil {
+		h := *g.opt.House
+		h.Name, h.Peers.Me, h.Peers.Directors, h.Listen, h.List, h.Metrics = p.name, i, g.script.Directors, "127.0.0.1:0", g.list.Address(), ""
+		h.Nodes, h.Titles = nil, nil // the list has them
+		return g.post(p, &h, nil)
+	}
 	facts := g.facts
 	facts.Name, facts.Me, facts.List = p.name, i, g.list.Address()
 	var text bytes.Buffer
@@ -204,6 +330,11 @@
 	if err != nil {
 		return err
 	}
+	return g.post(p, house, text.Bytes())
+}
+
+// post starts a director of a house; its text is for one in a process of its own.
+func (g *rig) post(p *post, house *conf.House, text []byte) (err error) {
 	g.mu.Lock()
 	g.boots++
 	boot, seed := strconv.Itoa(g.boots), g.opt.Seed*1000+uint64(g.boots)
@@ -213,7 +344,7 @@
 	g.mu.Unlock()
 	var d Director
 	if g.opt.Launch != nil {
-		d, err = g.opt.Launch.Director(text.Bytes(), p.name, boot, seed)
+		d, err = g.opt.Launch.Director(text, p.name, boot, seed)
 	} else {
 		var module director.Decider = house.Module(seed)
 		if g.opt.Module != nil {
@@ -259,6 +390,7 @@
 	for _, t := range g.script.Troubles {
 		troubles.Go(func() { g.trouble(day, t) })
 	}
+	troubles.Go(func() { g.tell(day) })
 	rest, stop := context.WithDeadline(ctx, end.Add(30*time.Second))
 	defer stop()
 	tick := time.NewTicker(5 * time.Millisecond)
@@ -308,7 +440,7 @@
 	} else if x < 0.5 {
 		i = 2
 	}
-	t := g.first.Tariffs[i]
+	t := g.first.Tariffs[i%len(g.first.Tariffs)]
 	v.Tariff, v.Paid, v.Wait, v.Goal = t.Name, t.Paid, t.HardStop, t.GoalTime
 	// Some titles are wanted far more than others.
 	x := r.Float64()
@@ -318,12 +450,12 @@
 	}
 	v.Title = g.titles[title].Title
 	v.Length = time.Duration(float64(g.script.Mean) * (0.4 + 1.2*r.Float64()))
-	best := t.Top
+	best := min(t.Top, len(g.worth)-1)
 	if r.Float64() < 0.2 {
-		v.Top = new(r.IntN(2) + 1)
+		v.Top = new(min(best, r.IntN(2)+1))
 		best = min(best, *v.Top)
 	}
-	v.Best = worth[best]
+	v.Best = g.worth[best]
 	return v, r
 }
 
--- a/internal/day/trouble.go
+++ b/internal/day/trouble.go
@@ -78,7 +78,7 @@
 		sleep(ctx, t.For)
 		g.fleet.Do(node.Fault{Shrink: new(1.0)})
 	case "origin_slow":
-		racks := max(1, g.script.Racks*3/10)
+		racks := max(1, g.racks*3/10)
 		g.say("the uplinks of %d racks give %.1f times less", racks, t.Size)
 		for i := range racks {
 			g.fleet.Do(node.Fault{Rack: &i, Shrink: &t.Size})
--- /dev/null
+++ b/internal/haproxy/read_test.go
@@ -0,0 +1,262 @@
+package haproxy
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestWords(t *testing.T) {
+	env := Environment{"A": "one two", "E": "", "B": "3"}
+	for _, x := range []struct {
+		line string
+		want string // words, separated by |
+	}{
+		{`server a b`, "server|a|b"},
+		{"\tserver \t a  # rest", "server|a"},
+		{`a#b`, "a"},
+		{`a\#b`, "a#b"},
+		{`a\ b c`, "a b|c"},
+		{`"a b" 'c d'e`, "a b|c de"},
+		{`"a'b" 'c"d'`, `a'b|c"d`},
+		{`'a\nb$A'`, `a\nb$A`},
+		{`"x\ty\"z\\"`, "x\ty\"z\\"},
+		{`\x41\x20b`, "A b"},
+		{`"" ''`, "|"},
+		{`a\qb`, `a\qb`},
+		{`a\`, `a\`},
+		{`$A`, "$A"}, // outside weak quotes it stands for itself
+		{`"$A"`, "one two"},
+		{`"${A}x"`, "one twox"},
+		{`"${A[*]}"`, "one|two"},
+		{`"${E}"`, ""},
+		{`"${C-none}"`, "none"},
+		{`"${B-none}"`, "3"},
+		{`"\$A"`, "$A"},
+		{`"a${E}b"`, "ab"},
+	} {
+		words, missing, err := split(x.line, Place{}, env)
+		var got []string
+		for _, w := range words {
+			got = append(got, w.Text)
+		}
+		if err != nil || len(missing) > 0 || strings.Join(got, "|") != x.want {
+			t.Errorf("%s: %q, missing %v, %v", x.line, got, missing, err)
+		}
+	}
+	if words, _, _ := split(`  ab "c d" e`, Place{}, nil); words[0].Col != 3 || words[1].Col != 6 || words[2].Col != 12 {
+		t.Errorf("%+v", words)
+	}
+	if _, missing, _ := split(`"$NOT and ${NEITHER}"`, Place{}, nil); len(missing) != 2 {
+		t.Error(missing)
+	}
+	for line, col := range map[string]int{`a "b`: 3, `a 'b`: 3, `a "b'`: 3, `\x4`: 1, `\xzz`: 1, `"${A`: 2, `"$"`: 2, "a\x00": 2} {
+		if _, _, err := split(line, Place{File: "f", Line: 1}, env); err == nil || err.Col != col {
+			t.Errorf("%q: %v, wants column %d", line, err, col)
+		}
+	}
+}
+
+func TestConditions(t *testing.T) {
+	env := Environment{"SET": "x", "EMPTY": ""}
+	for text, want := range map[string]truth{
+		"1": yes, "0": no, "": no, "-3": yes, "!0": yes, "!!1": yes, "(1)": yes, "1 && 0": no, "1 || 0": yes, "0 && 0 || 1": yes, "0 && (0 || 1)": no,
+		"defined(SET)": yes, "defined(EMPTY)": yes, "defined(HOME)": no, "streq(a,a)": yes, "streq(a, b)": no, "strneq(a,b)": yes, "strstr(abc,b)": yes,
+		"version_atleast(2.8)": yes, "version_atleast(2.10)": no, "version_before(3.0)": yes, "version_atleast(2.9-dev3)": yes,
+		"feature(OPENSSL)": unknown, "feature(X) && 0": no, "feature(X) || 1": yes, "!feature(X)": unknown, "whatever(1)": unknown,
+	} {
+		if got, _, err := evaluate(text, env, "2.9"); got != want || err != nil {
+			t.Errorf("%s: %v, not %v (%v)", text, got, want, err)
+		}
+	}
+	if got, why, _ := evaluate("version_atleast(2.4)", nil, ""); got != unknown || !strings.Contains(why, "--haproxy-version") {
+		t.Error(got, why)
+	}
+	for _, text := range []string{"(1", "1 1", "bare", "streq(a)", "defined(", "&& 1", strings.Repeat("(", 100)} {
+		if _, _, err := evaluate(text, nil, ""); err == nil {
+			t.Errorf("%s: no error", text)
+		}
+	}
+}
+
+func TestUnits(t *testing.T) {
+	for text, want := range map[string]time.Duration{"0": 0, "5": 5 * time.Millisecond, "5s": 5 * time.Second, "1500us": 1500 * time.Microsecond, "2m": 2 * time.Minute,
+		"1h": time.Hour, "2d": 48 * time.Hour, "2147483647": 2147483647 * time.Millisecond} {
+		if got, err := span(text); got != want || err != nil {
+			t.Errorf("%s: %v, %v", text, got, err)
+		}
+	}
+	for _, text := range []string{"", "s", "5x", "-1", "1.5s", "25d", "99999999999999999999", "500us", "2147483648"} {
+		if got, err := span(text); err == nil {
+			t.Errorf("%s: %v", text, got)
+		}
+	}
+}
+
+func TestAddresses(t *testing.T) {
+	for text, want := range map[string]Address{
+		"10.0.0.1:80": {Host: "10.0.0.1", Low: 80, High: 80}, "[::1]:80": {Host: "::1", Low: 80, High: 80}, "::1:80": {Host: "::1", Low: 80, High: 80},
+		"ipv6@[fe80::1]:9": {Host: "fe80::1", Low: 9, High: 9}, "ipv4@a.b:1": {Host: "a.b", Low: 1, High: 1}, ":8000-8010": {Low: 8000, High: 8010},
+		"*:80": {Host: "*", Low: 80, High: 80}, "10.0.0.1": {Host: "10.0.0.1", Kind: NoPort}, "[::1]": {Host: "::1", Kind: NoPort}, "a:": {Host: "a", Kind: NoPort},
+		"a:+100": {Host: "a", Kind: Offset}, "a:-100": {Host: "a", Kind: Offset}, "/run/x": {Kind: Socket}, "unix@/run/x": {Kind: Socket},
+		"abns@x": {Kind: Socket}, "quic4@:443": {Kind: Family},
+	} {
+		if got, err := address(text); got != want || err != nil {
+			t.Errorf("%s: %+v, %v", text, got, err)
+		}
+	}
+	for _, text := range []string{"a:0", "a:65536", "a:b", "a:80-70", "a:99999999999999"} {
+		if got, err := address(text); err == nil {
+			t.Errorf("%s: %+v", text, got)
+		}
+	}
+}
+
+// read reads one text and returns what became of each line.
+func read(t *testing.T, text string, env Environment) (*Files, error) {
+	t.Helper()
+	r := Reader{Env: env}
+	if err := r.Read("t.cfg", []byte(text)); err != nil {
+		return nil, err
+	}
+	return r.End()
+}
+
+func TestConditionalBlocks(t *testing.T) {
+	f, err := read(t, `global
+.if defined(A)
+ a
+.if defined(B)
+ b
+.else
+ c
+.endif
+.elif 1
+ d
+.else
+ e
+.endif
+.if feature(X)
+ f
+.else
+ g
+.endif
+ h
+`, Environment{"A": "1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := map[string]Outcome{}
+	for _, l := range f.Lines {
+		if len(l.Words) == 1 && l.Words[0].Text != "global" {
+			got[l.Words[0].Text], _ = l.Outcome()
+		}
+	}
+	// a, c and h are for the mapping; f and g can't be told; the others were not even taken apart.
+	if len(f.Sections[0].Lines) != 3 || f.Sections[0].Lines[1].Text(0) != "c" || got["f"] != Skipped || got["g"] != Skipped {
+		t.Errorf("%v, %d lines", got, len(f.Sections[0].Lines))
+	}
+	for text, want := range map[string]string{".endif": "t.cfg:2:1: .endif without .if", ".if 1\n": "t.cfg:2:1: this .if has no .endif",
+		".if (": "t.cfg:2:1: .if:", ".what": "unknown directive", ".else": ".else without"} {
+		if _, err := read(t, "global\n"+text, nil); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", text, err)
+		}
+	}
+}
+
+func TestUnreadableInputsAreNamed(t *testing.T) {
+	for text, want := range map[string]string{
+		"hello world\n":                      `t.cfg:1:1: "hello" stands in no section`,
+		"{\"json\": true}\n":                 "t.cfg:1",
+		"global\n log \"never ends\n":        "t.cfg:2:6: the quote that opens here never ends",
+		"frontend\n":                         "t.cfg:1:1: frontend without a name",
+		"\x7fELF\x00\x01\x02":                "no configuration",
+		"# nothing\n":                        "nothing that is a HAProxy configuration",
+		"":                                   "nothing that is a HAProxy configuration",
+		"backend b from none\n server a b:1": "", // found when meaning is worked out
+	} {
+		_, err := read(t, text, nil)
+		var u *Unreadable
+		if want == "" {
+			if err != nil {
+				t.Error(err)
+			}
+			continue
+		}
+		if !errors.As(err, &u) || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v, wants %s", text, err, want)
+		}
+	}
+	f, _ := read(t, "backend b from none\n server a b:1", nil)
+	if _, err := f.Proxies(); err == nil || !strings.Contains(err.Error(), "t.cfg:1") {
+		t.Error(err)
+	}
+}
+
+func TestFolderInOrder(t *testing.T) {
+	dir := t.TempDir()
+	for name, text := range map[string]string{"2.cfg": "backend two\r\n server b b:2\r\n", "1.cfg": "\xef\xbb\xbfbackend one\n\tserver a a:1", "no.txt": "what"} {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	r := Reader{}
+	f, err := r.ReadPaths(dir)
+	if err != nil || len(f.Lines) != 4 || f.Sections[0].Name != "one" || f.Sections[1].Lines[0].Text(2) != "b:2" {
+		t.Fatal(f, err)
+	}
+	if _, err := (&Reader{}).ReadPaths(t.TempDir()); err == nil {
+		t.Error("an empty folder is read")
+	}
+}
+
+func TestInheritance(t *testing.T) {
+	f, err := read(t, `defaults one
+ timeout connect 1s
+ retries 5
+ option redispatch
+defaults
+ timeout connect 2s
+defaults three from one
+ no option redispatch
+backend a from one
+ retries 7
+backend b
+backend c from three
+ default-server weight 5 maxconn 9
+ server x x:1 weight 7
+ default-server no-check maxconn 10
+ server y y:1
+`, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := f.Proxies()
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, b, c := p[0], p[1], p[2]
+	if a.Settings["timeout connect"].Args[0] != "1s" || a.Settings["retries"].Args[0] != "7" {
+		t.Error("a")
+	}
+	if c.Settings["timeout connect"].Args[0] != "1s" || !c.Settings["option redispatch"].Off || a.Settings["option redispatch"].Off {
+		t.Error("c", c.Settings)
+	}
+	if b.Settings["retries"].Args[0] != "5" || b.Settings["timeout connect"].Args[0] != "1s" {
+		t.Error("b has not the last defaults")
+	}
+	if x, y := c.Servers[0], c.Servers[1]; x.Options["weight"].Arg() != "7" || x.Options["maxconn"].Arg() != "9" || y.Options["weight"].Arg() != "5" || y.Options["maxconn"].Arg() != "10" {
+		t.Error("servers", c.Servers[0].Options, c.Servers[1].Options)
+	}
+}
+
+// A line of two million bytes is read in time.
+func TestLongLine(t *testing.T) {
+	f, err := read(t, "global\n log "+strings.Repeat("word ", 400_000)+"\n", nil)
+	if err != nil || len(f.Sections[0].Lines[0].Words) != 400_001 {
+		t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/internal/importer/against.go
@@ -0,0 +1,131 @@
+package importer
+
+import (
+	"fmt"
+	"strconv"
+
+	"github.com/tailscale/hujson"
+
+	"fordusher/internal/conf"
+	"fordusher/internal/wire"
+)
+
+// A Change is what is different from an earlier import.
+type Change struct {
+	Node string `json:"node,omitempty"`
+	What string `json:"what"` // added, gone, a key of the node, or a key of the file
+	Was  string `json:"was,omitempty"`
+	Is   string `json:"is,omitempty"`
+}
+
+func (c Change) String() string {
+	switch {
+	case c.What == "added" || c.What == "gone":
+		return fmt.Sprintf("node %s %s (%s)", c.Node, c.What, c.Was+c.Is)
+	case c.Node != "":
+		return fmt.Sprintf("node %s: %s was %s, is %s", c.Node, c.What, c.Was, c.Is)
+	}
+	return fmt.Sprintf("%s: was %s, is %s", c.What, c.Was, c.Is)
+}
+
+// An Earlier is a director's file that was imported before and filled in since.
+type Earlier struct{ tree *tree }
+
+// ReadEarlier reads it; what is wrong with it comes back as conf.Problems.
+func ReadEarlier(file string, text []byte) (*Earlier, error) {
+	r, o := conf.Parse(file, text)
+	if err := r.Err(); err != nil {
+		return nil, err
+	}
+	o.Object("nodes", true)
+	if err := r.Err(); err != nil {
+		return nil, err
+	}
+	v, err := hujson.Parse(text)
+	if err != nil {
+		return nil, err // conf.Parse has read it already
+	}
+	return &Earlier{fromJSON(v)}, nil
+}
+
+// Against fills the blanks of an import with what the earlier file has, and tells what changed. What HAProxy
+// or the overlay say now stands over what the earlier file says; all else of it is kept.
+func (r *Result) Against(e *Earlier) (changes []Change) {
+	was, is := e.tree.at("nodes"), r.tree.at("nodes")
+	for _, name := range is.keys {
+		now, before := is.kids[name], was.at(name)
+		if before == nil {
+			changes = append(changes, Change{Node: name, What: "added", Is: text(now.at("address"))})
+			continue
+		}
+		now.fill(before)
+		for _, k := range now.keys {
+			if a, b := text(before.at(k)), text(now.at(k)); a != b {
+				changes = append(changes, Change{Node: name, What: k, Was: a, Is: b})
+			}
+		}
+	}
+	for _, name := range was.keys {
+		if is.at(name) == nil {
+			changes = append(changes, Change{Node: name, What: "gone", Was: text(was.at(name, "address"))})
+		}
+	}
+	nodes := r.tree.kids["nodes"]
+	delete(e.tree.kids, "nodes") // those that are gone do not come back
+	kept := e.tree.keys[:0]
+	for _, k := range e.tree.keys {
+		if k != "nodes" {
+			kept = append(kept, k)
+		}
+	}
+	e.tree.keys = kept
+	differ(e.tree, r.tree, "", &changes)
+	r.tree.fill(e.tree)
+	r.tree.kids["nodes"] = nodes
+	for i := range r.Nodes { // what was filled in holds for the plan too
+		n := r.Nodes[i]
+		t := nodes.at(n.Node)
+		if c, err := strconv.Atoi(text(t.at("cell"))); err == nil {
+			n.Cell, n.HasCell = c, true
+		}
+	}
+	e.tree.set(was, "nodes")
+	return changes
+}
+
+// differ collects the leaves that both have and that differ.
+func differ(was, is *tree, path string, changes *[]Change) {
+	for _, k := range is.keys {
+		a, b := was.at(k), is.kids[k]
+		key := k
+		if path != "" {
+			key = path + "." + k
+		}
+		switch {
+		case a == nil || b.blank() || a.blank():
+		case a.kids != nil && b.kids != nil:
+			differ(a, b, key, changes)
+		case a.kids == nil && b.kids == nil && a.leaf != b.leaf:
+			*changes = append(*changes, Change{What: key, Was: a.leaf, Is: b.leaf})
+		}
+	}
+}
+
+func text(t *tree) string {
+	if t == nil {
+		return "nothing"
+	}
+	if s, err := strconv.Unquote(t.leaf); err == nil {
+		return s
+	}
+	return t.leaf
+}
+
+// Fleet is the nodes and titles of a filled-in file, as its reader has them.
+func Fleet(file string, text []byte) ([]wire.Entry, []wire.Title, *conf.House, error) {
+	h, err := conf.Read(file, text)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	return h.Nodes, h.Titles, h, nil
+}
--- /dev/null
+++ b/internal/importer/carry.go
@@ -0,0 +1,703 @@
+package importer
+
+import (
+	"fmt"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"fordusher/internal/haproxy"
+	"fordusher/internal/wire"
+)
+
+// A Node is a server that became a node.
+type Node struct {
+	wire.Entry
+	HasCell bool // somebody said in which cell it stands
+	server  *haproxy.Server
+}
+
+// Result is what an import came to.
+type Result struct {
+	Files       *haproxy.Files
+	Nodes       []*Node
+	Suggestions []string
+	Warnings    []string
+	tree        *tree
+}
+
+// A work is an import under way.
+type work struct {
+	files   *haproxy.Files
+	overlay *Overlay
+	proxies []*haproxy.Proxy
+	live    []*haproxy.Proxy // not disabled
+	serving []*haproxy.Proxy // of these, those with servers
+	fronts  []*haproxy.Proxy // of these, those with clients
+	nodes   []*Node
+	places  map[string]int // kinds of machines; 0: not known
+	kinds   []string
+	result  *Result
+	out     *tree
+
+	used     []usedServer // whose words are still to be accounted for
+	noWarmup string       // why slowstart is not carried over
+}
+
+type usedServer struct {
+	server *haproxy.Server
+	except string // a word that is accounted for
+}
+
+// Import carries over what has the same meaning here, and accounts for every line.
+func Import(files *haproxy.Files, overlay *Overlay) (*Result, error) {
+	proxies, err := files.Proxies()
+	if err != nil {
+		return nil, err
+	}
+	w := &work{files: files, overlay: overlay, proxies: proxies, places: map[string]int{}, out: object(), result: &Result{Files: files}}
+	for _, l := range files.Lines {
+		if len(l.Missing) > 0 && !l.Accounted() {
+			l.Skip("", "variables without a value: "+strings.Join(l.Missing, ", "), "pass --env NAME=VALUE, or give a default: ${NAME-default}")
+		}
+	}
+	for _, p := range proxies {
+		if p.Disabled {
+			w.leaveOut(p)
+			continue
+		}
+		w.live = append(w.live, p)
+		if p.Kind != "backend" {
+			w.fronts = append(w.fronts, p)
+		}
+		if p.Takes() && len(p.Servers) > 0 {
+			w.serving = append(w.serving, p)
+		}
+	}
+	w.servers()
+	w.agreements()
+	w.doors()
+	w.rest()
+	w.suggest()
+	w.result.Nodes = w.nodes
+	w.result.tree = w.build()
+	return w.result, nil
+}
+
+// leaveOut accounts for a disabled proxy.
+func (w *work) leaveOut(p *haproxy.Proxy) {
+	for _, l := range append([]*haproxy.Line{p.Head}, p.Lines...) {
+		if !l.Accounted() {
+			l.Ignore("the proxy is disabled: HAProxy leaves it out")
+		}
+	}
+}
+
+// servers makes nodes of servers.
+func (w *work) servers() {
+	names := map[string]int{}
+	for _, p := range w.serving {
+		for _, s := range p.Servers {
+			if !s.Template {
+				names[s.Name]++
+			}
+		}
+	}
+	byAddress := map[string]*Node{}
+	byName := map[string]bool{}
+	for _, p := range w.serving {
+		drained, all := 0, 0
+		const manyNodes = 8 // of one line: then they are named by their first and last
+		for _, s := range p.Servers {
+			if s.Line.Accounted() {
+				continue
+			}
+			entries, ok := w.entries(p, s, names)
+			if !ok {
+				continue
+			}
+			for _, n := range entries {
+				all++
+				if n.State == wire.Draining {
+					drained++
+				}
+				if byName[n.Node] {
+					s.Line.Skip("server "+n.Node, "a node of this name is there already", "rename one of the two")
+					continue
+				}
+				if first := byAddress[n.Address]; first != nil {
+					w.again(s, n, first)
+					continue
+				}
+				byName[n.Node] = true
+				if len(entries) <= manyNodes {
+					n.server.Line.Carry("server", "nodes."+n.Node)
+				}
+				byAddress[n.Address] = n
+				w.nodes = append(w.nodes, n)
+			}
+			if n := len(entries); n > manyNodes {
+				s.Line.Carry(fmt.Sprintf("%d servers", n), "nodes."+entries[0].Node+" to "+entries[n-1].Node)
+			}
+		}
+		if all > 0 && drained == all {
+			w.result.Warnings = append(w.result.Warnings, fmt.Sprintf("%s: all servers of %s have weight 0: a title that lies on them alone has no holder that takes sessions",
+				p.Head.Place, p.Name))
+		}
+	}
+	for _, p := range w.proxies {
+		if p.Disabled || slices.Contains(w.serving, p) {
+			continue
+		}
+		for _, s := range p.Servers {
+			if !s.Line.Accounted() {
+				s.Line.Skip("", "servers of a proxy in mode log or spop take no sessions", "")
+			}
+		}
+	}
+}
+
+// again is a server whose address a node has already.
+func (w *work) again(s *haproxy.Server, n, first *Node) {
+	if n.State == first.State && n.Weight == first.Weight && n.Kind == first.Kind {
+		s.Line.Carry("server "+n.Node, "nodes."+first.Node+" (the same address)")
+		return
+	}
+	s.Line.Skip("server "+n.Node, fmt.Sprintf("its address is that of node %s (%s), which has another weight, state or number of places: one node can't have both", first.Node,
+		first.server.Line.Place), "make the two lines agree, or set the node by hand")
+}
+
+// entries are the nodes of a server's line, one for each number of a template; ok is false where it makes
+// none, which is noted.
+func (w *work) entries(p *haproxy.Proxy, s *haproxy.Server, names map[string]int) (all []*Node, ok bool) {
+	l := s.Line
+	if o, is := s.Options["backup"]; is {
+		row := lookup("server", "backup")
+		l.Skip(o.Name, row.Why, row.Advice)
+		return nil, false
+	}
+	if _, is := s.Options["disabled"]; is {
+		l.Carry("disabled", "nodes (left out)")
+		w.used = append(w.used, usedServer{s, "disabled"})
+		return nil, false
+	}
+	weight, _, given, err := s.Number("weight", 0, 256)
+	if err != nil {
+		l.Skip("weight", "HAProxy refuses it: "+err.Error(), "")
+		return nil, false
+	}
+	state := wire.Up
+	switch {
+	case !given:
+		weight = 1
+	case weight == 0:
+		state, weight = wire.Draining, 1
+	}
+	most, _, given, err := s.Number("maxconn", 0, 1<<30)
+	if err != nil {
+		l.Skip("maxconn", "HAProxy refuses it: "+err.Error(), "")
+		return nil, false
+	}
+	kind := "unlimited"
+	if given && most > 0 {
+		kind = "places-" + strconv.Itoa(most)
+	}
+	one := func(name string, place place) bool {
+		at := s.Address
+		if place.address != "" {
+			host, port, err := net.SplitHostPort(place.address)
+			n, bad := strconv.Atoi(port)
+			if err != nil || bad != nil {
+				l.Skip("server "+name, fmt.Sprintf("the address in --with, %q, is no host:port", place.address), "")
+				return false
+			}
+			at = haproxy.Address{Host: host, Low: n, High: n}
+		}
+		switch {
+		case at.Kind != "":
+			l.Skip("server "+name, fmt.Sprintf("%s: %s", s.Text, at.Kind), "give the address that players reach with --with")
+			return false
+		case at.Low != at.High:
+			l.Skip("server "+name, s.Text+": a range of ports is no address of a server", "")
+			return false
+		case at.Host == "" || at.Host == "*" || at.Host == "0.0.0.0" || at.Host == "::":
+			l.Skip("server "+name, s.Text+": the address to which the client came is used", "give the address that players reach with --with")
+			return false
+		}
+		n := &Node{server: s, Entry: wire.Entry{Node: name, Address: net.JoinHostPort(at.Host, strconv.Itoa(at.Low)), State: state, Kind: kind,
+			Weight: float64(weight), Zone: place.zone}}
+		if place.kind != "" {
+			n.Kind = place.kind
+		}
+		if place.cell >= 0 {
+			n.Cell, n.HasCell = place.cell, true
+		}
+		if _, known := w.places[n.Kind]; !known {
+			w.places[n.Kind] = 0
+			w.kinds = append(w.kinds, n.Kind)
+		}
+		if n.Kind == kind {
+			w.places[kind] = most
+		}
+		all = append(all, n)
+		return true
+	}
+	name := s.Name
+	if names[s.Name] > 1 && !s.Template {
+		name = p.Name + "." + s.Name
+	}
+	if !s.Template {
+		if !one(name, w.overlay.of(p.Name, s.Name)) {
+			return nil, false
+		}
+	} else {
+		made := 0
+		for i := s.Low; i <= s.High; i++ {
+			number := s.Name + strconv.Itoa(i)
+			place := w.overlay.of(p.Name, number)
+			if place.address == "" {
+				continue
+			}
+			if one(number, place) {
+				made++
+			}
+		}
+		if blank := s.High - s.Low + 1 - made; blank > 0 {
+			row := lookup("proxy", "server-template")
+			l.Skip(fmt.Sprintf("%d of %d", blank, s.High-s.Low+1), row.Why, row.Advice)
+		}
+		if made == 0 {
+			return nil, false
+		}
+	}
+	w.used = append(w.used, usedServer{s, ""})
+	return all, true
+}
+
+// words accounts for the keywords on the lines of the servers that became nodes, or are left out.
+func (w *work) words() {
+	for _, u := range w.used {
+		for _, o := range u.server.Own {
+			if o.Name != u.except {
+				w.word(u.server.Line, o)
+			}
+		}
+	}
+}
+
+func (w *work) word(l *haproxy.Line, o haproxy.Option) {
+	row := lookup("server", o.Name)
+	switch {
+	case row.Key == "":
+		l.Skip(o.String(), row.Why, row.Advice)
+	case o.Name == "weight" && o.Arg() == "0":
+		l.Carry(o.String(), "nodes.NAME.state (draining: sessions there go on, no new ones)")
+	case o.Name == "slowstart" && w.noWarmup != "":
+		l.Skip(o.String(), w.noWarmup, row.Advice)
+	default:
+		l.Carry(o.String(), row.Key)
+	}
+}
+
+// agreements carries over what the director has one value of, where all that it is about agree.
+func (w *work) agreements() {
+	if d, ok := w.agree(w.serving, "timeout connect", "manners.connect"); ok {
+		w.out.set(value(d.String()), "manners", "connect")
+	}
+	if d, ok := w.agree(w.fronts, "timeout http-request", "limits.players.handshake"); ok {
+		w.out.set(value(d.String()), "limits", "players", "handshake")
+	}
+	w.retries()
+	w.slowstart()
+	w.words()
+}
+
+// agree looks at a time that proxies have; it says false where they have none or do not agree, which is noted
+// on every line that sets it.
+func (w *work) agree(proxies []*haproxy.Proxy, keyword, key string) (time.Duration, bool) {
+	row := lookup("proxy", keyword)
+	var lines []*haproxy.Line
+	var first time.Duration
+	why := ""
+	for i, p := range proxies {
+		x := p.Settings[keyword]
+		if x == nil || x.Off {
+			if why == "" {
+				why = p.Kind + " " + p.Name + " has none"
+			}
+			continue
+		}
+		if !slices.Contains(lines, x.Line) {
+			lines = append(lines, x.Line)
+		}
+		d, err := x.Span()
+		switch {
+		case err != nil:
+			why = err.Error()
+		case d == 0:
+			why = "0 stands for no limit, which the director does not have"
+		case i > 0 && first != 0 && d != first:
+			why = fmt.Sprintf("%v here and %v there: the director has one", first, d)
+		case first == 0:
+			first = d
+		}
+	}
+	for _, l := range lines {
+		if l.Accounted() {
+			continue
+		}
+		if why != "" {
+			l.Skip("", why, row.Advice)
+		} else {
+			l.Carry("", key)
+		}
+	}
+	return first, why == "" && first > 0
+}
+
+// retries carries over how often a connection that fails is tried again. Connections that were never made
+// ran nowhere, so the rule on paid set-ups has nothing against it; all else that retry-on names may have run.
+func (w *work) retries() {
+	var lines []*haproxy.Line
+	most, why := -1, ""
+	for _, p := range w.serving {
+		n := 3
+		if x := p.Settings["retries"]; x != nil {
+			if !slices.Contains(lines, x.Line) {
+				lines = append(lines, x.Line)
+			}
+			var err error
+			if n, err = x.Number(0, 1000); err != nil {
+				why = err.Error()
+			}
+		}
+		if x := p.Settings["option redispatch"]; x == nil || x.Off {
+			if why == "" && n > 0 {
+				why = fmt.Sprintf("%s %s tries the same server again (no option redispatch): the director never does", p.Kind, p.Name)
+			}
+		} else if !slices.Contains(lines, x.Line) {
+			lines = append(lines, x.Line)
+		}
+		if x := p.Settings["retry-on"]; x != nil {
+			if bad := slices.DeleteFunc(slices.Clone(x.Args), func(a string) bool { return a == "none" || a == "conn-failure" }); len(bad) > 0 {
+				if !x.Line.Accounted() {
+					x.Line.Skip(strings.Join(bad, " "), rule2, "viewers of free tariffs get further legs anyway (legs.most)")
+				}
+			} else if !slices.Contains(lines, x.Line) {
+				lines = append(lines, x.Line)
+			}
+			if slices.Contains(x.Args, "none") {
+				n = 0
+			}
+		}
+		switch {
+		case most < 0:
+			most = n
+		case n != most && why == "":
+			why = fmt.Sprintf("%d retries here and %d there: the director has one number", most, n)
+		}
+	}
+	if why == "" && most > 15 {
+		why = fmt.Sprintf("%d retries: the director has 16 legs at the most", most)
+	}
+	for _, l := range lines {
+		if l.Accounted() {
+			continue
+		}
+		if why != "" {
+			l.Skip("", why, lookup("proxy", "retries").Advice)
+		} else {
+			l.Carry("", "legs.most")
+		}
+	}
+	if why == "" && len(lines) > 0 {
+		w.out.set(value(most+1), "legs", "most")
+	}
+}
+
+// slowstart carries over a warm-up where all nodes agree on it.
+func (w *work) slowstart() {
+	var first time.Duration
+	why := ""
+	for i, n := range w.nodes {
+		d, _, ok, err := n.server.Span("slowstart")
+		switch {
+		case err != nil:
+			why = err.Error()
+		case !ok && i > 0 && first > 0, ok && i > 0 && first == 0 && d > 0:
+			why = "not all nodes have it"
+		case i == 0:
+			first = d
+		case d != first:
+			why = fmt.Sprintf("%v here and %v there: the director has one warm-up", first, d)
+		}
+	}
+	if w.noWarmup = why; why == "" && first == 0 {
+		w.noWarmup = "0 stands for none, which leaves ramp.warmup to you"
+	}
+	if why == "" && first > 0 {
+		w.out.set(value(first.String()), "ramp", "warmup")
+	}
+}
+
+// doors carries over where players connect, and how many may.
+func (w *work) doors() {
+	var binds []*haproxy.Line
+	for _, p := range w.fronts {
+		for _, l := range p.Lines {
+			if haproxy.Keyword(l) == "bind" && !l.Accounted() {
+				binds = append(binds, l)
+			}
+		}
+	}
+	row := lookup("proxy", "bind")
+	for _, l := range binds {
+		address, why := listener(l)
+		if why == "" && len(binds) > 1 {
+			why = fmt.Sprintf("there are %d addresses, and a director has one", len(binds))
+		}
+		if why != "" {
+			l.Skip("", why, row.Advice)
+			continue
+		}
+		l.Carry("", row.Key)
+		w.out.set(value(address), "listen")
+	}
+	most := 0
+	for _, s := range w.files.Sections {
+		for _, l := range s.Lines {
+			if s.Kind != "global" || l.Text(0) != "maxconn" || l.Accounted() {
+				continue
+			}
+			n, err := strconv.Atoi(l.Text(1))
+			if err != nil || n <= 0 {
+				l.Skip("", "no number of connections", "")
+				continue
+			}
+			most = n
+			l.Carry("", "limits.connections")
+		}
+	}
+	row = lookup("proxy", "maxconn")
+	for _, p := range w.fronts {
+		x := p.Settings["maxconn"]
+		if x == nil || x.Line.Accounted() {
+			continue
+		}
+		n, err := x.Number(1, 1<<30)
+		switch {
+		case err != nil:
+			x.Line.Skip("", err.Error(), row.Advice)
+		case len(w.fronts) > 1:
+			x.Line.Skip("", fmt.Sprintf("a bound of one of %d frontends; the director has one bound", len(w.fronts)), row.Advice)
+		case most > 0 && n > most:
+			x.Line.Ignore("the process takes fewer")
+		default:
+			most = n
+			x.Line.Carry("", row.Key)
+		}
+	}
+	if most > 0 {
+		w.out.set(value(min(most, 10_000_000)), "limits", "connections")
+	}
+}
+
+// listener reads a bind line; why tells what keeps it from being carried over.
+func listener(l *haproxy.Line) (address, why string) {
+	if len(l.Words) < 2 {
+		return "", "HAProxy refuses a bind without an address"
+	}
+	if strings.ContainsRune(l.Text(1), ',') {
+		return "", "several addresses on one line, and a director has one"
+	}
+	a, err := haproxy.ParseAddress(l.Text(1))
+	switch {
+	case err != nil:
+		return "", err.Error()
+	case a.Kind != "":
+		return "", l.Text(1) + ": " + a.Kind
+	case a.Low != a.High:
+		return "", "a range of ports, and a director has one"
+	}
+	for i := 2; i < len(l.Words); i++ {
+		switch word := l.Text(i); word {
+		case "name", "maxconn", "backlog", "id", "nice", "process", "thread", "shards", "user", "group", "mode", "level":
+			i++ // how HAProxy treats the listener; who connects sees nothing of it
+		case "transparent", "defer-accept", "tfo", "v4v6", "v6only":
+		default:
+			return "", fmt.Sprintf("%q: players would meet another door than now (encryption, another protocol)", word)
+		}
+	}
+	if a.Host == "*" {
+		a.Host = ""
+	}
+	return net.JoinHostPort(a.Host, strconv.Itoa(a.Low)), ""
+}
+
+// rest accounts for every line that nothing was noted of yet.
+func (w *work) rest() {
+	inForce := map[*haproxy.Line]bool{}
+	for _, p := range w.live {
+		for _, x := range p.Settings {
+			inForce[x.Line] = true
+		}
+	}
+	for _, s := range w.files.Sections {
+		head := s.Head
+		where := "section"
+		switch s.Kind {
+		case "global":
+			where = "global"
+		case "defaults", "frontend", "backend", "listen":
+			where = "proxy"
+		}
+		if where == "section" {
+			row := lookup("section", s.Kind)
+			head.Skip("", row.Why, row.Advice)
+			for _, l := range s.Lines {
+				if !l.Accounted() {
+					l.Skip("", row.Why, row.Advice)
+				}
+			}
+			continue
+		}
+		if !head.Accounted() {
+			head.Ignore("begins a section")
+		}
+		for _, l := range s.Lines {
+			if l.Accounted() {
+				continue
+			}
+			name := haproxy.Keyword(l)
+			row := lookup(where, name)
+			switch {
+			case name == "default-server":
+				w.defaults(l)
+			case name == "disabled" || name == "enabled":
+				l.Ignore("the proxy is not disabled by it in the end")
+			case row.Key != "" && !inForce[l]:
+				l.Ignore("no proxy that is left has it in force")
+			case row.Key != "":
+				l.Skip("", "not where it has this meaning: "+row.Why, row.Advice)
+			default:
+				l.Skip("", row.Why, row.Advice)
+			}
+		}
+	}
+	for _, l := range w.files.Lines { // what is left is a fault of the importer, and is told as such
+		if !l.Accounted() {
+			l.Skip("", unknownRow.Why, unknownRow.Advice)
+		}
+	}
+}
+
+// defaults accounts for a default-server's line: as on a server's own.
+func (w *work) defaults(l *haproxy.Line) {
+	for _, p := range w.serving {
+		for _, s := range p.Servers {
+			for _, o := range s.Options {
+				if o.Line != l {
+					continue
+				}
+				for _, all := range haproxy.Options(l) {
+					w.word(l, all)
+				}
+				return
+			}
+		}
+	}
+	l.Ignore("no server that is left has any of it in force")
+}
+
+// suggest looks for what may be titles or tariffs; nothing of it is applied.
+func (w *work) suggest() {
+	say := func(format string, args ...any) {
+		w.result.Suggestions = append(w.result.Suggestions, fmt.Sprintf(format, args...))
+	}
+	if len(w.serving) > 1 {
+		for _, p := range w.serving {
+			say("%s: %s %s has %d servers: if its viewers want titles of their own, give them cells in a row and the titles base and copies there",
+				p.Head.Place, p.Kind, p.Name, len(p.Servers))
+		}
+	}
+	for _, p := range w.live {
+		for _, l := range p.Lines {
+			switch haproxy.Keyword(l) {
+			case "use_backend":
+				say("%s: %q sends some viewers to %s: a tariff, or a group of titles", l.Place, l.Rest(2), l.Text(1))
+			case "cookie":
+				say("%s: viewers are kept on a server by a cookie: a player that passes its key finds its session again", l.Place)
+			}
+		}
+	}
+}
+
+// build puts the result together.
+func (w *work) build() *tree {
+	t := object()
+	t.set(missing("this director's name, unique among all"), "director", "name")
+	t.set(missing("its number, from 0"), "director", "me")
+	t.set(missing("how many directors there are"), "director", "directors")
+	t.set(missing("address for players, host:port"), "listen")
+	t.set(missing("{\"NAME\": {\"goal_time\": \"800ms\", \"hard_stop\": \"3s\"}}: HAProxy does not know them"), "tariffs")
+	t.set(missing("{\"rates\": [...]}: the rungs of your titles"), "ladder")
+	t.set(missing("cells of the placement"), "fleet", "cells")
+	t.set(missing("racks; a cell's rack is cell modulo racks"), "fleet", "racks")
+	t.set(missing("link of a node for each unit of weight"), "fleet", "link_unit")
+	t.set(missing("mean uplink of a rack"), "fleet", "uplink")
+	for _, k := range w.kinds {
+		if n := w.places[k]; n > 0 {
+			t.set(value(n), "fleet", "machines", k)
+		} else {
+			t.set(missing("sessions that it runs at most"), "fleet", "machines", k)
+		}
+	}
+	t.set(missing("time until a node that has just started is warm"), "ramp", "warmup")
+	t.set(missing("its least warmth"), "ramp", "cold_from")
+	t.set(missing("the multiple of its pace that pushes it over"), "ramp", "multiple")
+	t.set(missing("within this time"), "ramp", "tip_after")
+	t.set(missing("{\"TITLE\": {\"base\": 0, \"copies\": 3}}: the cells that hold it"), "titles")
+	for _, k := range w.out.keys { // what HAProxy says is no blank
+		merge(t, w.out.kids[k], k)
+	}
+	if w.overlay != nil {
+		for _, k := range w.overlay.rest.keys {
+			merge(t, w.overlay.rest.kids[k], k)
+		}
+	}
+	nodes := object()
+	for _, n := range w.nodes {
+		e := object()
+		e.set(value(n.Address), "address")
+		e.set(value(n.State), "state")
+		e.set(value(n.Kind), "kind")
+		e.set(value(n.Weight), "weight")
+		if n.Zone != "" {
+			e.set(value(n.Zone), "zone")
+		}
+		if n.HasCell {
+			e.set(value(n.Cell), "cell")
+		} else {
+			e.set(&tree{leaf: blank}, "cell")
+		}
+		nodes.set(e, n.Node)
+	}
+	t.set(nodes, "nodes")
+	return t
+}
+
+// merge puts a value over what is there, key by key.
+func merge(t, v *tree, path ...string) {
+	if v.kids == nil {
+		t.set(v, path...)
+		return
+	}
+	if have := t.at(path...); have == nil || have.kids == nil {
+		t.set(object(), path...)
+	}
+	for _, k := range v.keys {
+		merge(t, v.kids[k], append(slices.Clone(path), k)...)
+	}
+}
