--- a/internal/day/result.go
+++ b/internal/day/result.go
@@ -36,7 +36,11 @@
 func (r *Result) Kept() bool { return r.Rules.Kept() && r.Unanswered == 0 }
 
 func (g *rig) result() (*Result, error) {
-	r := &Result{Seed: g.opt.Seed, Terms: g.terms(), Records: g.record.Records()}
+	slack := g.opt.Slack
+	if slack == 0 {
+		slack = 100 * time.Millisecond
+	}
+	r := &Result{Seed: g.opt.Seed, Terms: Terms(g.first, slack), Records: g.record.Records()}
 	more, err := g.fleet.Records()
 	if err != nil {
 		return nil, err
