--- a/cmd/fordusher/day.go
+++ b/cmd/fordusher/day.go
@@ -19,7 +19,7 @@
 )
 
 type dayCommand struct {
-	Script    string        `help:"The day's script; without it the bad day that ships with the program." type:"path"`
+	Script    string        `help:"The day's script, or bad-quarter, which ships with the program as the bad day does that is played without one."`
 	Conf      string        `help:"A director's file with nodes and titles, played on stand-ins in place of the script's own fleet." type:"path"`
 	Plan      string        `help:"With --conf: list updates in the course of the day, as import haproxy --plan writes them." type:"path"`
 	Virtual   bool          `help:"In virtual time: the same loops and codec, models of all else, the same to the byte for a script and a seed."`
@@ -29,11 +29,11 @@
 	Requests  int           `help:"Viewers who come, over what the script says."`
 	Directors int           `help:"Directors, over what the script says."`
 	Nodes     int           `help:"Nodes, over what the script says."`
-	Seed      uint64        `help:"What chance is drawn from." default:"1"`
+	Seed      uint64        `help:"What chance is drawn from; without it what the script says, or 1."`
 	JSON      bool          `help:"Print one object as the last line."`
 	Record    string        `help:"Keep the witness record in this file; fordusher verify checks it again." type:"path"`
 	Processes bool          `help:"Run directors and nodes as processes of their own, so that they are killed outright."`
-	Baseline  string        `help:"Put a baseline in the module's place: random-lowest or least-middle." enum:"random-lowest,least-middle,none" default:"none"`
+	Baseline  string        `help:"Put a baseline in the module's place: random-lowest, least-middle or round-robin." enum:"random-lowest,least-middle,round-robin,none" default:"none"`
 	Slack     time.Duration `help:"What the witness forgives of what is seen late or out of order." default:"100ms"`
 	Logs      bool          `help:"Show the directors' log."`
 }
@@ -46,6 +46,9 @@
 			return err
 		}
 	}
+	if c.Seed == 0 {
+		c.Seed = max(1, s.Seed)
+	}
 	if c.Requests > 0 {
 		s.Requests = c.Requests
 	}
--- a/cmd/fordusher/main.go
+++ b/cmd/fordusher/main.go
@@ -24,16 +24,19 @@
 var errBroken = errors.New("a rule was broken")
 
 type commands struct {
-	Day    dayCommand    `cmd:"" help:"Run a scripted bad day on loopback and check the six rules from what crossed the sockets."`
-	Serve  serveCommand  `cmd:"" help:"Run one director."`
-	Check  checkCommand  `cmd:"" help:"Check a director's file."`
-	Node   nodeCommand   `cmd:"" help:"Run stand-in nodes."`
-	Roster rosterCommand `cmd:"" help:"Run a stand-in for the list's source."`
-	Player playerCommand `cmd:"" help:"Run one player: ask for a session and print what is answered."`
-	Import importCommand `cmd:"" help:"Make a director's file of another program's configuration, and account for every line."`
-	Load   loadCommand   `cmd:"" help:"Put a load on a director and measure it."`
-	Plot   plotCommand   `cmd:"" help:"Tables and charts from the kept results of a load."`
-	Verify verifyCommand `cmd:"" help:"Check the rules again from kept records."`
+	Day        dayCommand        `cmd:"" help:"Run a scripted bad day on loopback and check the six rules from what crossed the sockets."`
+	Serve      serveCommand      `cmd:"" help:"Run one director."`
+	Check      checkCommand      `cmd:"" help:"Check a director's file."`
+	Node       nodeCommand       `cmd:"" help:"Run stand-in nodes."`
+	Roster     rosterCommand     `cmd:"" help:"Run a stand-in for the list's source."`
+	Player     playerCommand     `cmd:"" help:"Run one player: ask for a session and print what is answered."`
+	Import     importCommand     `cmd:"" help:"Make a director's file of another program's configuration, and account for every line."`
+	Hunt       huntCommand       `cmd:"" help:"Draw days in virtual time and keep the worst."`
+	Shrink     shrinkCommand     `cmd:"" help:"Cut a failing day in virtual time down as far as it still fails."`
+	Experiment experimentCommand `cmd:"" help:"Play a grid of days in virtual time: policies, seeds, sizes; tables, charts, paired differences."`
+	Load       loadCommand       `cmd:"" help:"Put a load on a director and measure it."`
+	Plot       plotCommand       `cmd:"" help:"Tables and charts from the kept results of a load."`
+	Verify     verifyCommand     `cmd:"" help:"Check the rules again from kept records."`
 }
 
 func main() {
--- a/internal/day/script.go
+++ b/internal/day/script.go
@@ -17,6 +17,9 @@
 //go:embed bad.jsonc
 var badDay []byte
 
+//go:embed quarter.jsonc
+var badQuarter []byte
+
 // Kinds are the troubles that a script may name.
 var Kinds = []string{"ageing", "answer_lost", "balancer_roll", "burst", "crash", "deploy", "discovery_stale", "fast_errors",
 	"hang", "hot_key", "origin_slow", "preempt", "shared_slow", "vanish"}
@@ -45,6 +48,7 @@
 	NoticeHigh   time.Duration
 	SilentNotice time.Duration
 	Troubles     []Trouble
+	Seed         uint64 // what chance is drawn from where nobody says otherwise; 0: 1
 }
 
 // Default is the script that ships with the program.
@@ -56,8 +60,12 @@
 	return s
 }
 
-// Load reads a script's file; what is wrong with it comes back as conf.Problems.
+// Load reads a script's file, or the one that ships under the name bad-quarter; what is wrong with it comes
+// back as conf.Problems.
 func Load(file string) (*Script, error) {
+	if file == "bad-quarter" {
+		return Read("quarter.jsonc", badQuarter)
+	}
 	text, err := os.ReadFile(file)
 	if err != nil {
 		return nil, err
@@ -79,6 +87,7 @@
 		Racks:     o.Whole("racks", 4, 1, 1000, false),
 		Titles:    o.Whole("titles", 40, 1, 100_000, false),
 		Load:      o.Number("load", 0.85, 0.01, 10, false),
+		Seed:      uint64(o.Whole("seed", 0, 0, 1<<53, false)),
 	}
 	if s.Racks > s.Nodes {
 		r.Wrong(o.Where("racks"), "there are %d racks for %d nodes", s.Racks, s.Nodes)
@@ -130,6 +139,25 @@
 	return s, nil
 }
 
+// Text writes a script as a file that Read reads.
+func (s *Script) Text(comment string) []byte {
+	var b strings.Builder
+	if comment != "" {
+		fmt.Fprintf(&b, "// %s\n", strings.ReplaceAll(comment, "\n", "\n// "))
+	}
+	h := s.Habit
+	fmt.Fprintf(&b, "{\n  \"seed\": %d, \"length\": \"%v\", \"requests\": %d, \"directors\": %d, \"nodes\": %d, \"racks\": %d, \"titles\": %d, \"load\": %g,\n", s.Seed,
+		s.Length, s.Requests, s.Directors, s.Nodes, s.Racks, s.Titles, s.Load)
+	fmt.Fprintf(&b, "  \"viewers\": {\"mean_length\": \"%v\", \"returns\": %g, \"pause_low\": \"%v\", \"pause_high\": \"%v\", \"heeds\": %g, \"hasty\": %g, \"repeats\": %g, \"drops\": %g},\n",
+		s.Mean, h.Returns, h.PauseLow, h.PauseHigh, h.Heeds, h.Hasty, h.Repeats, h.Drops)
+	fmt.Fprintf(&b, "  \"list\": {\"notice_low\": \"%v\", \"notice_high\": \"%v\", \"silent_notice\": \"%v\"},\n  \"troubles\": [\n", s.NoticeLow, s.NoticeHigh, s.SilentNotice)
+	for _, t := range s.Troubles {
+		fmt.Fprintf(&b, "    {\"kind\": \"%s\", \"at\": \"%v\", \"for\": \"%v\", \"share\": %g, \"size\": %g},\n", t.Kind, t.At, t.For, t.Share, t.Size)
+	}
+	b.WriteString("  ],\n}\n")
+	return []byte(b.String())
+}
+
 // defaultSize is what a trouble's size is where the script does not say.
 func defaultSize(kind string) float64 {
 	switch kind {
--- a/internal/emulator/crowd.go
+++ b/internal/emulator/crowd.go
@@ -21,6 +21,7 @@
 	came    int
 	due     float64
 	active  int
+	wanted  float64 // credit a second, if all who are there played at their best rung
 	conns   uint64
 	seats   map[uint64]*seat // emptied as connections end
 	latency []time.Duration
@@ -67,6 +68,7 @@
 		x, r := w.layout.Viewer(w.house, c.came, c.hot)
 		c.came++
 		c.active++
+		c.wanted += x.Best * w.credit[x.Tariff]
 		c.asked[x.Tariff] += x.Length.Seconds() * x.Best
 		v := &viewer{Viewer: x, r: r, left: x.Length, began: at}
 		c.ask(at, v)
@@ -275,6 +277,7 @@
 	}
 	if !e.again || v.left < 200*time.Millisecond || v.r.Float64() >= h.Returns || at > settle+w.script.Length+2*time.Second {
 		c.active--
+		c.wanted -= v.Best * w.credit[v.Tariff]
 		c.home()
 		return
 	}
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -143,11 +143,8 @@
 
 // send lets something leave for the world.
 func (p *post) send(at time.Duration, way uint64, do func(at time.Duration)) {
-	at += p.w.delay(p.chance)
-	if way != 0 {
-		at = max(at, p.lasts[way])
-		p.lasts[way] = at
-	}
+	at = max(at+p.w.delay(p.chance), p.lasts[way])
+	p.lasts[way] = at
 	p.out = append(p.out, sent{at, do})
 }
 
@@ -201,7 +198,8 @@
 		case director.Log:
 			if w.opt.Say != nil {
 				line := o.Words
-				p.send(at, 0, func(at time.Duration) { w.say(at, "%s: %s", p.name, line) })
+				// Whether anybody listens must change nothing: no chance is drawn for it.
+				p.out = append(p.out, sent{at + w.opt.Network.Low, func(at time.Duration) { w.say(at, "%s: %s", p.name, line) }})
 			}
 		case director.Ended:
 			p.up, p.end = false, true
--- /dev/null
+++ b/internal/emulator/experiment.go
@@ -0,0 +1,391 @@
+package emulator
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/klauspost/compress/zstd"
+	"gonum.org/v1/gonum/stat"
+	"gonum.org/v1/gonum/stat/distuv"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"fordusher/internal/conf"
+	"fordusher/internal/day"
+	"fordusher/internal/director"
+)
+
+// An Experiment is a grid of days in virtual time: each place of the grid is played with each policy on each
+// seed, so that policies are compared on the same days.
+type Experiment struct {
+	Name      string
+	Script    *day.Script
+	Seeds     int
+	From      int // the first seed
+	Policies  []string
+	Directors []int
+	Loads     []float64
+}
+
+// ModulePolicy is the name of the module among the policies.
+const ModulePolicy = "module"
+
+// LoadExperiment reads an experiment's file; what is wrong with it comes back as conf.Problems.
+func LoadExperiment(file string) (*Experiment, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	r, o := conf.Parse(file, text)
+	if err := r.Err(); err != nil {
+		return nil, err
+	}
+	x := &Experiment{
+		Name:     o.Text("name", "", true),
+		Seeds:    o.Whole("seeds", 10, 2, 10_000, false),
+		From:     o.Whole("from", 1, 1, 1e9, false),
+		Policies: o.Texts("policies", false),
+	}
+	for _, n := range o.Numbers("directors", 1, 1000) {
+		x.Directors = append(x.Directors, int(n))
+	}
+	x.Loads = o.Numbers("loads", 0.01, 10)
+	script := o.Text("script", "", false)
+	if len(x.Policies) == 0 {
+		x.Policies = []string{ModulePolicy}
+	}
+	for _, p := range x.Policies {
+		if p != ModulePolicy && day.Baselines[p] == nil {
+			r.Wrong(o.Where("policies"), "there is no policy %q; there are %s and %s", p, ModulePolicy, strings.Join(names(day.Baselines), ", "))
+		}
+	}
+	o.Done()
+	if err := r.Err(); err != nil {
+		return nil, err
+	}
+	if script == "" {
+		x.Script = day.Default()
+		return x, nil
+	}
+	x.Script, err = day.Load(filepath.Join(filepath.Dir(file), script))
+	return x, err
+}
+
+func names[V any](m map[string]V) (all []string) {
+	for k := range m {
+		all = append(all, k)
+	}
+	slices.Sort(all)
+	return all
+}
+
+// A Cell is a place of the grid.
+type Cell struct {
+	Directors int     `json:"directors"`
+	Load      float64 `json:"load"`
+}
+
+func (c Cell) String() string { return fmt.Sprintf("%d directors, load %g", c.Directors, c.Load) }
+
+// A Day is one day of an experiment.
+type Day struct {
+	Cell
+	Policy     string    `json:"policy"`
+	Seed       uint64    `json:"seed"`
+	Hash       string    `json:"hash"`
+	Taken      int       `json:"taken"`
+	Played     int       `json:"played"`
+	Nacked     int       `json:"nacked"`
+	Errored    int       `json:"errored"`
+	Legs       int       `json:"legs"`
+	P99        float64   `json:"p99_ms"`
+	Credit     float64   `json:"credit"`
+	Broken     int       `json:"broken"`
+	Recoveries []float64 `json:"recoveries"` // seconds, of the troubles after which credit came back
+	Unmended   int       `json:"unmended"`   // troubles after which it did not while the day lasted
+	Points     []Point   `json:"points"`
+}
+
+// Trial is the days of an experiment.
+type Trial struct {
+	Name string `json:"name"`
+	Days []Day  `json:"-"`
+}
+
+// Run plays the whole grid on so many cores.
+func (x *Experiment) Run(ctx context.Context, workers int) (*Trial, error) {
+	t := &Trial{Name: x.Name}
+	directors, loads := x.Directors, x.Loads
+	if len(directors) == 0 {
+		directors = []int{x.Script.Directors}
+	}
+	if len(loads) == 0 {
+		loads = []float64{x.Script.Load}
+	}
+	for _, d := range directors {
+		for _, l := range loads {
+			for _, p := range x.Policies {
+				for i := range x.Seeds {
+					t.Days = append(t.Days, Day{Cell: Cell{d, l}, Policy: p, Seed: uint64(x.From + i)})
+				}
+			}
+		}
+	}
+	return t, inParallel(workers, len(t.Days), func(i int) error {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		d := &t.Days[i]
+		s := *x.Script
+		s.Directors, s.Load = d.Directors, d.Load
+		var module func(h *conf.House, seed uint64) director.Decider
+		if d.Policy != ModulePolicy {
+			module = day.Baselines[d.Policy]
+		}
+		r, err := Run(&s, d.Seed, Options{Module: module})
+		if err != nil {
+			return err
+		}
+		d.Hash, d.Taken, d.Played, d.Nacked, d.Errored, d.Legs, d.P99, d.Credit = r.Hash, r.Taken, r.Played, r.Nacked, r.Errored, r.Legs, r.P99, r.Credit
+		d.Broken, d.Points = r.broken(), r.Points
+		for _, e := range r.Ends {
+			if took, ok := r.Recovery(e); ok {
+				d.Recoveries = append(d.Recoveries, took.Seconds())
+			} else {
+				d.Unmended++
+			}
+		}
+		return nil
+	})
+}
+
+// Save keeps a trial as compressed lines of JSON.
+func (t *Trial) Save(file string) (err error) {
+	f, err := os.Create(file)
+	if err != nil {
+		return err
+	}
+	defer func() {
+		if e := f.Close(); err == nil {
+			err = e
+		}
+	}()
+	z, err := zstd.NewWriter(f)
+	if err != nil {
+		return err
+	}
+	e := json.NewEncoder(z)
+	if err := e.Encode(t); err != nil {
+		return err
+	}
+	for i := range t.Days {
+		if err := e.Encode(&t.Days[i]); err != nil {
+			return err
+		}
+	}
+	return z.Close()
+}
+
+// LoadTrial reads what Save wrote.
+func LoadTrial(file string) (*Trial, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	z, err := zstd.NewReader(bufio.NewReader(f))
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	defer z.Close()
+	t := &Trial{}
+	d := json.NewDecoder(z)
+	if err := d.Decode(t); err != nil || t.Name == "" {
+		return nil, fmt.Errorf("%s: not an experiment's results: %v", file, err)
+	}
+	for {
+		var x Day
+		if err := d.Decode(&x); err == io.EOF {
+			return t, nil
+		} else if err != nil {
+			return nil, fmt.Errorf("%s: day %d: %w", file, len(t.Days)+1, err)
+		}
+		t.Days = append(t.Days, x)
+	}
+}
+
+// interval is the half width of the 95% confidence interval of a mean.
+func interval(x []float64) float64 {
+	if len(x) < 2 {
+		return math.NaN()
+	}
+	t := distuv.StudentsT{Mu: 0, Sigma: 1, Nu: float64(len(x) - 1)}.Quantile(0.975)
+	return t * stat.StdDev(x, nil) / math.Sqrt(float64(len(x)))
+}
+
+// group is the days of one place and policy, by seed.
+func (t *Trial) group(c Cell, policy string) (days []Day) {
+	for _, d := range t.Days {
+		if d.Cell == c && d.Policy == policy {
+			days = append(days, d)
+		}
+	}
+	return days
+}
+
+func (t *Trial) cells() (all []Cell) {
+	for _, d := range t.Days {
+		if !slices.Contains(all, d.Cell) {
+			all = append(all, d.Cell)
+		}
+	}
+	return all
+}
+
+func (t *Trial) policies() (all []string) {
+	for _, d := range t.Days {
+		if !slices.Contains(all, d.Policy) {
+			all = append(all, d.Policy)
+		}
+	}
+	return all
+}
+
+func of(days []Day, f func(d Day) float64) (all []float64) {
+	for _, d := range days {
+		all = append(all, f(d))
+	}
+	return all
+}
+
+// Table writes means over seeds with their 95% confidence intervals, and each policy's paired difference in
+// credit to the first one, day by day.
+func (t *Trial) Table() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s\n%-26s %-14s %5s %16s %16s %8s %9s %9s %10s %9s %7s\n", t.Name, "", "policy", "days", "credit", "over the first", "nacked", "errored",
+		"legs/play", "recovery s", "unmended", "broken")
+	for _, c := range t.cells() {
+		var first []float64
+		for _, p := range t.policies() {
+			days := t.group(c, p)
+			if len(days) == 0 {
+				continue
+			}
+			credit := of(days, func(d Day) float64 { return d.Credit })
+			over := ""
+			if first == nil {
+				first = credit
+			} else if len(first) == len(credit) {
+				over = difference(credit, first)
+			}
+			sum := func(f func(d Day) int) (n int) {
+				for _, d := range days {
+					n += f(d)
+				}
+				return n
+			}
+			var recoveries []float64
+			for _, d := range days {
+				recoveries = append(recoveries, d.Recoveries...)
+			}
+			taken := float64(sum(func(d Day) int { return d.Taken }))
+			mean := math.NaN()
+			if len(recoveries) > 0 {
+				mean = stat.Mean(recoveries, nil)
+			}
+			fmt.Fprintf(&b, "%-26s %-14s %5d %8.3f ± %.3f %16s %7.1f%% %8.2f%% %9.3f %10.2f %9d %7d\n", c, p, len(days), stat.Mean(credit, nil), interval(credit), over,
+				100*float64(sum(func(d Day) int { return d.Nacked }))/taken, 100*float64(sum(func(d Day) int { return d.Errored }))/taken,
+				float64(sum(func(d Day) int { return d.Legs }))/float64(max(1, sum(func(d Day) int { return d.Played }))), mean,
+				sum(func(d Day) int { return d.Unmended }), sum(func(d Day) int { return d.Broken }))
+		}
+	}
+	return b.String()
+}
+
+// difference is the mean of paired differences with its interval.
+func difference(a, b []float64) string {
+	d := make([]float64, len(a))
+	for i := range a {
+		d[i] = a[i] - b[i]
+	}
+	return fmt.Sprintf("%+.3f ± %.3f", stat.Mean(d, nil), interval(d))
+}
+
+// Against compares two trials, place by place and policy by policy, on the seeds that both have.
+func (t *Trial) Against(o *Trial) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s over %s, paired by seed\n%-26s %-14s %5s %16s\n", t.Name, o.Name, "", "policy", "days", "credit")
+	for _, c := range t.cells() {
+		for _, p := range t.policies() {
+			was := map[uint64]float64{}
+			for _, d := range o.group(c, p) {
+				was[d.Seed] = d.Credit
+			}
+			var x, y []float64
+			for _, d := range t.group(c, p) {
+				if before, both := was[d.Seed]; both {
+					x, y = append(x, d.Credit), append(y, before)
+				}
+			}
+			if len(x) > 1 {
+				fmt.Fprintf(&b, "%-26s %-14s %5d %16s\n", c, p, len(x), difference(x, y))
+			}
+		}
+	}
+	return b.String()
+}
+
+// Charts draws, for each place of the grid, what part of what was wanted was earned in each second, the mean
+// over seeds, a line for each policy.
+func (t *Trial) Charts(path, form string) (drawn []string, err error) {
+	for i, c := range t.cells() {
+		p := plot.New()
+		p.Title.Text = t.Name + ": " + c.String()
+		p.X.Label.Text, p.Y.Label.Text = "seconds", "credit a second, of what was wanted"
+		p.Y.Min, p.Y.Max = 0, 1
+		p.Add(plotter.NewGrid())
+		for k, policy := range t.policies() {
+			days := t.group(c, policy)
+			var line plotter.XYs
+			for second := 0; ; second++ {
+				var parts []float64
+				for _, d := range days {
+					if second < len(d.Points) && d.Points[second].Wanted > 0 {
+						parts = append(parts, min(1, d.Points[second].Earning/d.Points[second].Wanted))
+					}
+				}
+				if len(parts) < max(1, len(days)/2) {
+					break
+				}
+				line = append(line, plotter.XY{X: float64(second), Y: stat.Mean(parts, nil)})
+			}
+			if len(line) == 0 {
+				continue
+			}
+			l, err := plotter.NewLine(line)
+			if err != nil {
+				return drawn, err
+			}
+			l.Color, l.Dashes = plotutil.Color(k), plotutil.Dashes(k)
+			p.Add(l)
+			p.Legend.Add(policy, l)
+		}
+		p.Legend.Top = true
+		file := fmt.Sprintf("%s-%d.%s", path, i+1, form)
+		if err := p.Save(16*vg.Centimeter, 9*vg.Centimeter, file); err != nil {
+			return drawn, err
+		}
+		drawn = append(drawn, file)
+	}
+	return drawn, nil
+}
--- a/internal/emulator/result.go
+++ b/internal/emulator/result.go
@@ -18,6 +18,18 @@
 	*day.Result
 	Hash string        `json:"hash"` // of all that was recorded
 	Span time.Duration `json:"span"` // of virtual time
+
+	Points    []Point `json:"-"`
+	Ends      []Ended `json:"-"`          // of troubles, for what recovering took
+	LeastRule string  `json:"least_rule"` // that came nearest to being broken
+	Least     float64 `json:"least"`      // what part of what it allows was left over then
+}
+
+// Ended is a trouble that has ended.
+type Ended struct {
+	Kind  string
+	Begin time.Duration
+	End   time.Duration
 }
 
 func (w *world) result() *Result {
@@ -34,5 +46,47 @@
 		r.Span = w.records[n-1].At
 	}
 	witness.Sort(r.Records)
+	r.Points = w.points
+	for _, t := range w.script.Troubles {
+		r.Ends = append(r.Ends, Ended{t.Kind, t.At, t.At + t.For})
+	}
+	r.Least = 1
+	for _, rule := range witness.Rules {
+		if x := r.Rules[rule].Least; x < r.Least {
+			r.Least, r.LeastRule = x, rule
+		}
+	}
 	return r
 }
+
+// back is the part of the credit before a trouble that counts as recovered.
+const back = 0.95
+
+// Recovery is how long it took from a trouble's end until credit was back at 95% of what it was in the five
+// seconds before the trouble, as a part of what was wanted; ok is false where there is no such time: nothing was
+// earned before, or it did not come back while the day lasted.
+func (r *Result) Recovery(e Ended) (took time.Duration, ok bool) {
+	part := func(p Point) float64 {
+		if p.Wanted == 0 {
+			return 0
+		}
+		return p.Earning / p.Wanted
+	}
+	begin, end := int(e.Begin/time.Second), int((e.End+time.Second-1)/time.Second)
+	before, n := 0.0, 0
+	for _, p := range r.Points {
+		if p.Second >= begin-5 && p.Second < begin {
+			before += part(p)
+			n++
+		}
+	}
+	if n == 0 || before == 0 {
+		return 0, false
+	}
+	for _, p := range r.Points {
+		if p.Second >= end && part(p) >= back*before/float64(n) {
+			return time.Duration(p.Second)*time.Second - e.End, true
+		}
+	}
+	return 0, false
+}
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -50,6 +50,8 @@
 	list    *list
 	records []witness.Record
 	crowd   crowd
+	credit  map[string]float64 // of tariffs
+	points  []Point
 	over    bool
 	err     error
 }
@@ -92,9 +94,31 @@
 		w.events.put(settle+a.At, func(at time.Duration) { w.act(at, a) })
 	}
 	w.crowd.begin(w)
+	w.credit = map[string]float64{}
+	for _, t := range w.house.Tariffs {
+		w.credit[t.Name] = t.Credit
+	}
+	w.events.put(settle, w.sample)
 	return w, nil
 }
 
+// A Point is how a day stands at one second.
+type Point struct {
+	Second  int     `json:"second"`
+	Earning float64 `json:"earning"` // credit a second, of all that play
+	Wanted  float64 `json:"wanted"`  // the same if all who are there played at their best rung
+	Playing int     `json:"playing"`
+	There   int     `json:"there"` // viewers who play, wait, or pause before they come again
+}
+
+// sample keeps how the day stands, each second.
+func (w *world) sample(at time.Duration) {
+	p := Point{Second: len(w.points), There: w.crowd.active, Wanted: w.crowd.wanted}
+	p.Earning, p.Playing = w.farm.Earning(w.credit)
+	w.points = append(w.points, p)
+	w.events.put(at+time.Second, w.sample)
+}
+
 func (w *world) add(at time.Duration, r witness.Record) {
 	r.At = at
 	w.records = append(w.records, r)
--- a/internal/standin/node/farm.go
+++ b/internal/standin/node/farm.go
@@ -584,5 +584,23 @@
 	clear(n.free)
 }
 
+// Earning is what all sessions earn at this moment, a second: each its tariff's credit, times the worth of its
+// rung and what is left of that where the rate is short.
+func (f *Farm) Earning(credit map[string]float64) (rate float64, playing int) {
+	for _, n := range f.order {
+		if !n.alive || n.silent || n.hung {
+			continue
+		}
+		quality := max(0, 1-f.site.StallCost*max(0, 0.98-f.share(n)))
+		for _, k := range n.keys() { // in order, so that the sum is the same each time
+			if s := n.streams[k]; s.plays {
+				playing++
+				rate += credit[s.tariff] * quality * f.site.Worth[min(s.rung, len(f.site.Worth)-1)]
+			}
+		}
+	}
+	return rate, playing
+}
+
 // Streams counts a node's streams.
 func (f *Farm) Streams(name string) int { return len(f.nodes[name].streams) }
--- a/internal/witness/check.go
+++ b/internal/witness/check.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -52,6 +53,7 @@
 	Checked  int      `json:"checked"`
 	Broken   int      `json:"broken"`
 	Examples []string `json:"examples,omitempty"` // the first few breaches
+	Least    float64  `json:"least"`              // smallest part of what the rule allows that was left over; 1: it never came near
 }
 
 // Verdict is how all rules fared.
@@ -69,6 +71,9 @@
 
 const exampleMost = 5
 
+// left notes what part of what a rule allows was left over.
+func (v Verdict) left(rule string, part float64) { v[rule].Least = max(0, min(v[rule].Least, part)) }
+
 func (v Verdict) check(rule string, ok bool, format string, args ...any) {
 	f := v[rule]
 	f.Checked++
@@ -124,14 +129,31 @@
 	sent     []*leg
 	byLeg    map[string][]*leg    // legs of a session
 	told     map[[2]string]toldAt // director and node
-	starts   map[string]Record    // of nodes that are cold
-	cold     map[string][]Record  // set-ups since the node's start
-	conns    map[uint64][]*want   // of a player's connection
-	outs     map[string][]*leg    // legs out on a node
-	killed   map[string]bool      // directors that are down
+	doubts   map[[2]string][]doubt
+	starts   map[string]Record   // of nodes that are cold
+	cold     map[string][]Record // set-ups since the node's start
+	conns    map[uint64][]*want  // of a player's connection
+	outs     map[string][]*leg   // legs out on a node
+	killed   map[string]bool     // directors that are down
 	end      time.Duration
 }
 
+// A doubt is a set-up to a node of which its director had no word yet that it is up again: that word may
+// have crossed the set-up.
+type doubt struct {
+	at      time.Duration
+	example string
+}
+
+// cleared settles doubts about a director and a node: it has said by now that it had the word, and may have had
+// it a moment before.
+func (a *account) cleared(k [2]string, now time.Duration) {
+	for _, d := range a.doubts[k] {
+		a.verdict.check(RuleDrain, d.at >= now-a.terms.Slack, "%s", d.example)
+	}
+	delete(a.doubts, k)
+}
+
 type toldAt struct {
 	at    time.Duration
 	state string
@@ -141,17 +163,22 @@
 func Check(terms Terms, records []Record) Verdict {
 	a := &account{
 		terms: terms, verdict: Verdict{}, wants: map[wantKey]*want{}, sessions: map[string]*want{},
-		legs: map[legKey]*leg{}, byLeg: map[string][]*leg{}, told: map[[2]string]toldAt{},
+		legs: map[legKey]*leg{}, byLeg: map[string][]*leg{}, told: map[[2]string]toldAt{}, doubts: map[[2]string][]doubt{},
 		starts: map[string]Record{}, cold: map[string][]Record{}, conns: map[uint64][]*want{},
 		outs: map[string][]*leg{}, killed: map[string]bool{},
 	}
 	for _, rule := range Rules {
-		a.verdict[rule] = &Finding{}
+		a.verdict[rule] = &Finding{Least: 1}
 	}
 	for _, r := range records {
 		a.end = max(a.end, r.At)
 		a.take(r)
 	}
+	for _, k := range slices.SortedFunc(maps.Keys(a.doubts), func(x, y [2]string) int { return cmp.Or(cmp.Compare(x[0], y[0]), cmp.Compare(x[1], y[1])) }) {
+		for _, d := range a.doubts[k] {
+			a.verdict.check(RuleDrain, false, "%s", d.example)
+		}
+	}
 	a.answers()
 	a.once()
 	a.seats()
@@ -227,6 +254,7 @@
 		for k := range a.told {
 			if k[0] == r.Director {
 				delete(a.told, k)
+				a.cleared(k, r.At)
 			}
 		}
 	case Told:
@@ -234,6 +262,9 @@
 		if a.told[k].state != r.State {
 			a.told[k] = toldAt{r.At, r.State}
 		}
+		if r.State == wire.Up {
+			a.cleared(k, r.At)
+		}
 	case Started:
 		a.starts[r.Node] = r
 		a.cold[r.Node] = nil
@@ -276,6 +307,7 @@
 		stop := w.At + w.Wait + a.terms.Slack
 		switch {
 		case w.answered != 0:
+			a.verdict.left(RuleAnswer, float64(stop-w.answered)/float64(w.Wait+a.terms.Slack))
 			a.verdict.check(RuleAnswer, w.answered <= stop, "viewer %d was answered %v after the hard stop by %s", w.Viewer,
 				w.answered-w.At-w.Wait, w.Director)
 		case w.excused != 0 && w.excused <= stop:
@@ -298,8 +330,14 @@
 	a.floor(r.Tariff, r)
 	// Rule 3. What was told and taken is what the director knows.
 	if t, ok := a.told[[2]string{r.Director, r.Node}]; ok && t.state != wire.Up {
-		a.verdict.check(RuleDrain, r.At <= t.at+a.terms.Grace+a.terms.Slack, "%s: %s sent to %s %v after it was told that it is %s",
-			at(r.At), r.Director, r.Node, r.At-t.at, t.state)
+		if r.At <= t.at+a.terms.Grace+a.terms.Slack {
+			a.verdict.left(RuleDrain, 1-float64(r.At-t.at)/float64(a.terms.Grace+a.terms.Slack))
+			a.verdict.check(RuleDrain, true, "")
+		} else {
+			k := [2]string{r.Director, r.Node}
+			a.doubts[k] = append(a.doubts[k], doubt{r.At, fmt.Sprintf("%s: %s sent to %s %v after it was told that it is %s", at(r.At), r.Director, r.Node,
+				r.At-t.at, t.state)})
+		}
 	} else {
 		a.verdict.check(RuleDrain, true, "")
 	}
@@ -309,6 +347,7 @@
 		a.cold[r.Node] = slices.DeleteFunc(append(a.cold[r.Node], r), func(x Record) bool { return x.At <= r.At-a.terms.TipAfter })
 		warmth := a.terms.ColdFrom + (1-a.terms.ColdFrom)*age.Seconds()/a.terms.Warmup.Seconds()
 		budget := a.terms.Multiple * start.Places / a.terms.Warmup.Seconds() * warmth * a.terms.TipAfter.Seconds()
+		a.verdict.left(RuleCold, 1-float64(len(a.cold[r.Node]))/(budget+1))
 		a.verdict.check(RuleCold, float64(len(a.cold[r.Node])) <= budget+1, "%s: %d set-ups within %v on %s, %v after its start (budget %.1f)",
 			at(r.At), len(a.cold[r.Node]), a.terms.TipAfter, r.Node, age, budget)
 	}
@@ -390,6 +429,7 @@
 		h := hall{boot(g.Session), g.Title, g.Tariff}
 		outs[h] = slices.DeleteFunc(outs[h], func(x *leg) bool { return a.ended(x)-a.terms.Slack <= g.At })
 		outs[h] = append(outs[h], g)
+		a.verdict.left(RuleTerms, 1-float64(len(outs[h]))/float64(seats+1))
 		a.verdict.check(RuleTerms, len(outs[h]) <= seats, "%s: %s holds %d sessions of %s in %s; there are %d seats", at(g.At), h.boot,
 			len(outs[h]), h.title, h.tariff, seats)
 	}
@@ -429,6 +469,7 @@
 			}
 		}
 		budget := a.terms.Spare + a.terms.Share*float64(n)
+		a.verdict.left(RuleBudget, 1-float64(len(spent))/(budget+1))
 		a.verdict.check(RuleBudget, float64(len(spent)) <= budget+1, "%s: %s sent %d further legs within %v (budget %.1f)", at(g.At), b,
 			len(spent), a.terms.Span, budget)
 	}
--- a/internal/witness/witness_test.go
+++ b/internal/witness/witness_test.go
@@ -253,6 +253,26 @@
 	}
 }
 
+// A director hears that a node is up again and sends a set-up, which overtakes its word that it has heard. A
+// set-up that comes long before that word is a breach all the same. Found by a hunt.
+func TestSetupCrossesWordOfBeingUp(t *testing.T) {
+	for _, x := range []struct {
+		setup int
+		kept  bool
+	}{{990, true}, {900, false}} {
+		var l log
+		l.add(100, Record{What: Told, Director: "d", Node: "a", State: wire.Draining})
+		l.want(800, 1, "clip")
+		l.setup(x.setup, "a", 1, "s", "clip")
+		l.add(1000, Record{What: Told, Director: "d", Node: "a", State: wire.Up})
+		l.node(1001, wire.Accepted, "a", 1)
+		l.answer(1002, 1, wire.Plays, "s")
+		if v := Check(terms, l); v.Kept() != x.kept || v[RuleDrain].Checked != 1 {
+			t.Errorf("set-up at %d: %+v", x.setup, v[RuleDrain])
+		}
+	}
+}
+
 func TestTallyCountsEachRequestOnce(t *testing.T) {
 	var l log
 	l.want(0, 1, "clip")
