--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -217,6 +217,7 @@
 	manners Manners
 	term    closing.Term
 	reach   *reach.Reach
+	ring    *timer // the one for reach
 	ping    time.Duration
 	limits  *limits.Limits
 	line    *limits.Line
@@ -430,6 +431,7 @@
 			l.gone(s)
 		}
 	case timerReach:
+		l.ring = nil
 		l.reached(reach.Event{What: reach.Ring})
 	case timerPing:
 		if n := l.links[t.id]; n != nil && n.up {
--- a/internal/director/nodes.go
+++ b/internal/director/nodes.go
@@ -61,8 +61,11 @@
 		l.links[n.link] = n
 		l.do(Connect{n.name, n.address, n.link, l.manners.Connect})
 	}
-	if plan.Ring > 0 {
-		l.timers.add(plan.Ring, timerReach, 0)
+	if plan.Ring > 0 && (l.ring == nil || plan.Ring < l.ring.at) {
+		if l.ring != nil {
+			l.timers.remove(l.ring)
+		}
+		l.ring = l.timers.add(plan.Ring, timerReach, 0)
 	}
 	return plan.GiveUp
 }
--- a/internal/witness/check.go
+++ b/internal/witness/check.go
@@ -460,7 +460,8 @@
 			continue
 		}
 		b := boot(g.Session)
-		spent := slices.DeleteFunc(append(further[b], g.At), func(t time.Duration) bool { return t <= g.At-a.terms.Span })
+		// One way may have been longer than the other: what was sent a span apart can come closer together.
+		spent := slices.DeleteFunc(append(further[b], g.At), func(t time.Duration) bool { return t <= g.At-a.terms.Span+a.terms.Slack })
 		further[b] = spent
 		n := 0
 		for _, w := range taken {
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -4,9 +4,8 @@
 package reach
 
 import (
-	"cmp"
+	"container/heap"
 	"math/rand/v2"
-	"slices"
 	"time"
 )
 
@@ -70,6 +69,7 @@
 	pace   Pace
 	chance *rand.Rand
 	nodes  map[int]*node // emptied as nodes are unlisted
+	turns  turns         // of idle nodes, by time; what no longer counts leaves when its time has come
 	outs   int           // tries under way
 	plan   Plan
 }
@@ -90,10 +90,15 @@
 	switch {
 	case e.What == Ring:
 	case e.What == Listed && n == nil:
-		r.nodes[e.Node] = &node{due: now}
+		n = &node{}
+		r.nodes[e.Node] = n
+		r.wait(e.Node, n, now)
 	case n == nil: // unlisted meanwhile
 	case e.What == Listed: // a new start: what failed before tells nothing of it
-		n.drop, n.fails, n.due = false, 0, now
+		n.drop, n.fails = false, 0
+		if n.state == idle {
+			r.wait(e.Node, n, now)
+		}
 	case e.What == Unlisted && n.state == trying:
 		n.drop = true
 	case e.What == Unlisted:
@@ -107,12 +112,13 @@
 	case e.What == Failed && n.state == trying:
 		r.outs--
 		n.state = idle
-		r.pause(now, n)
+		r.pause(now, e.Node, n)
 		if n.drop {
 			delete(r.nodes, e.Node)
 		}
 	case e.What == Lost && n.state == made:
-		n.state, n.due = idle, now // it may be back already; if not, the pauses begin
+		n.state = idle
+		r.wait(e.Node, n, now) // it may be back already; if not, the pauses begin
 	}
 	r.fill(now)
 	return r.plan
@@ -120,37 +126,59 @@
 
 // pause puts the next try off: between half and all of a span that doubles, so that directors that
 // lost a node in the same moment do not come back to it in the same moment.
-func (r *Reach) pause(now time.Duration, n *node) {
+func (r *Reach) pause(now time.Duration, i int, n *node) {
 	span := r.pace.Most
 	if n.fails < 16 {
 		span = min(span, r.pace.First<<n.fails)
 	}
 	n.fails++
-	n.due = now + span/2 + time.Duration(r.chance.Int64N(int64(span/2)+1))
+	r.wait(i, n, now+span/2+time.Duration(r.chance.Int64N(int64(span/2)+1)))
+}
+
+// A turn is when an idle node is to be tried; it counts only while the node waits for just that time.
+type turn struct {
+	due  time.Duration
+	node int
+}
+
+type turns []turn
+
+func (q turns) Len() int { return len(q) }
+func (q turns) Less(i, j int) bool {
+	return q[i].due < q[j].due || q[i].due == q[j].due && q[i].node < q[j].node
+}
+func (q turns) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *turns) Push(x any)   { *q = append(*q, x.(turn)) }
+func (q *turns) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// wait puts an idle node's next try at a time.
+func (r *Reach) wait(i int, n *node, due time.Duration) {
+	n.due = due
+	heap.Push(&r.turns, turn{due, i})
 }
 
 // fill starts the tries that are due, the longest due first, as far as there is room.
 func (r *Reach) fill(now time.Duration) {
-	var due []int
-	for i, n := range r.nodes {
-		if n.state == idle && n.due <= now {
-			due = append(due, i)
+	for len(r.turns) > 0 {
+		next := r.turns[0]
+		n := r.nodes[next.node]
+		switch {
+		case n == nil || n.state != idle || n.due != next.due: // it waits no more, or for another time
+			heap.Pop(&r.turns)
+			continue
+		case next.due > now:
+			r.plan.Ring = next.due
+			return
+		case r.outs >= r.pace.AtOnce:
+			return // a try that ends calls again
 		}
-	}
-	slices.SortFunc(due, func(a, b int) int {
-		return cmp.Or(cmp.Compare(r.nodes[a].due, r.nodes[b].due), cmp.Compare(a, b))
-	})
-	for _, i := range due {
-		if r.outs >= r.pace.AtOnce {
-			break // a try that ends calls again
-		}
-		r.nodes[i].state = trying
+		heap.Pop(&r.turns)
+		n.state = trying
 		r.outs++
-		r.plan.Dial = append(r.plan.Dial, i)
-	}
-	for _, n := range r.nodes {
-		if n.state == idle && n.due > now && (r.plan.Ring == 0 || n.due < r.plan.Ring) {
-			r.plan.Ring = n.due
-		}
+		r.plan.Dial = append(r.plan.Dial, next.node)
 	}
 }
