--- a/cmd/fordusher/day.go
+++ b/cmd/fordusher/day.go
@@ -24,6 +24,7 @@
 	Plan      string        `help:"With --conf: list updates in the course of the day, as import haproxy --plan writes them." type:"path"`
 	Virtual   bool          `help:"In virtual time: the same loops and codec, models of all else, the same to the byte for a script and a seed."`
 	Workers   int           `help:"Cores for a day in virtual time; they change nothing else." default:"${cores}"`
+	Replay    string        `help:"In virtual time, the incident of a day on sockets whose record was kept." type:"path"`
 	Until     time.Duration `help:"End a day in virtual time there: the shortest that still shows what is looked for."`
 	Profile   string        `help:"Write a profile of the processor time into this file." type:"path"`
 	Requests  int           `help:"Viewers who come, over what the script says."`
@@ -46,6 +47,23 @@
 			return err
 		}
 	}
+	var actions []day.Action
+	if c.Replay != "" {
+		if !c.Virtual {
+			return badInput{errors.New("--replay needs --virtual")}
+		}
+		_, records, err := witness.Load(c.Replay)
+		if err != nil {
+			return err
+		}
+		var seed uint64
+		if s, seed, actions, err = day.Replay(records); err != nil {
+			return badInput{fmt.Errorf("%s: %w", c.Replay, err)}
+		}
+		if c.Seed == 0 {
+			c.Seed = seed
+		}
+	}
 	if c.Seed == 0 {
 		c.Seed = max(1, s.Seed)
 	}
@@ -98,7 +116,8 @@
 	var r *day.Result
 	if c.Virtual {
 		began := time.Now()
-		v, err := emulator.Run(s, c.Seed, emulator.Options{Workers: c.Workers, Module: opt.Module, Say: opt.Progress, House: opt.House, Plan: opt.Plan, Until: c.Until})
+		v, err := emulator.Run(s, c.Seed, emulator.Options{Workers: c.Workers, Module: opt.Module, Say: opt.Progress, House: opt.House, Plan: opt.Plan, Until: c.Until,
+			Actions: actions})
 		if err != nil {
 			return err
 		}
--- a/internal/day/rig.go
+++ b/internal/day/rig.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -213,6 +214,9 @@
 // run lets viewers come until the day's length is over, and waits for the last of them.
 func (g *rig) run(ctx context.Context) {
 	g.began = time.Now()
+	if g.opt.House == nil {
+		g.record.Add(witness.Record{What: witness.Scripted, ID: strconv.FormatUint(g.opt.Seed, 10), Why: string(g.script.Text(""))})
+	}
 	end := g.began.Add(g.script.Length)
 	g.crowd.Ends = end.Add(2 * time.Second)
 	day, cancel := context.WithDeadline(ctx, end)
@@ -269,6 +273,9 @@
 }
 
 func (g *rig) act(a Action) {
+	if what, err := json.Marshal(a); err == nil {
+		g.record.Add(witness.Record{What: witness.Acted, Why: string(what)})
+	}
 	if a.Fault != nil {
 		g.fleet.Do(*a.Fault)
 	}
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -35,6 +35,7 @@
 	Until   time.Duration
 	Module  func(h *conf.House, seed uint64) director.Decider // nil: the module
 	Say     func(line string)                                 // a line for each action; may be nil
+	Actions []day.Action                                      // in place of the script's timeline; nil: that
 	House   *conf.House                                       // as in day.Options
 	Plan    []day.Told
 }
--- a/internal/load/scenario_test.go
+++ b/internal/load/scenario_test.go
@@ -100,3 +100,21 @@
 		t.Fatal(err)
 	}
 }
+
+// Idle connections whose timers are all due in one moment, while set-ups go on and drains come: every set-up is
+// answered, none comes to a node after its grace, nobody is lost. The command with a million is the measure.
+func TestIdleTimersDueTogether(t *testing.T) {
+	x := Million{Connections: 20_000, Ping: time.Minute, Rate: 100, For: 1500 * time.Millisecond, Nodes: 10}
+	r, err := x.Run(t.Context(), t.Logf)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.Lost > 0 || r.Drains == 0 || r.DrainMost > 250 {
+		t.Errorf("%d lost, %d drains, latest set-up after %.0f ms", r.Lost, r.Drains, r.DrainMost)
+	}
+	for _, part := range []*Result{r.Before, r.Among, r.Together} {
+		if part.Due < 100 || part.Played+part.Nacked+part.Errored < int64(part.Due) {
+			t.Errorf("%+v", part)
+		}
+	}
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -131,6 +131,8 @@
 	message  []byte // fragments so far
 	fragment ws.OpCode
 	half     bool
+	pinged   bool
+	ping     []byte // of the last ping that is not answered yet
 
 	once    sync.Once
 	mu      sync.Mutex
@@ -452,6 +454,16 @@
 		in = c.partial
 	}
 	c.keep(in, c.consume(in))
+	c.pong()
+}
+
+// pong answers the last of the pings that came together, as RFC 6455 allows (5.5.3): a flood of them costs its
+// sender more.
+func (c *Conn) pong() {
+	if c.pinged && (c.server == nil || !c.server.silent.Load()) {
+		c.send(ws.OpPong, c.ping, 0)
+	}
+	c.pinged, c.ping = false, nil
 }
 
 // keep holds on to the incomplete rest of what has come.
@@ -557,9 +569,7 @@
 func (c *Conn) take(h ws.Header, payload []byte) {
 	switch h.OpCode {
 	case ws.OpPing:
-		if c.server == nil || !c.server.silent.Load() {
-			c.send(ws.OpPong, payload, 0)
-		}
+		c.pinged, c.ping = true, payload
 	case ws.OpPong:
 	case ws.OpClose:
 		code, reason := ws.ParseCloseFrameData(payload)
@@ -567,6 +577,7 @@
 	case ws.OpBinary:
 		c.end(fmt.Errorf("%w: binary message", ErrProtocol), ws.StatusUnsupportedData, "text messages only")
 	default:
+		c.pong()
 		if !h.Fin {
 			c.half = true
 			c.message = append(c.message, payload...)
@@ -809,7 +820,8 @@
 	handler.Opened(c)
 	np.AddCloseCallback(c.closed)
 	in := c.partial
-	c.keep(in, c.consume(in))
+	c.partial = nil
+	c.feed(in)
 	np.SetOnRequest(c.read)
 	if !np.IsActive() { // it ended before the callback was there
 		c.closed(np)
--- a/internal/witness/record.go
+++ b/internal/witness/record.go
@@ -35,6 +35,8 @@
 	Killed   = "killed"   // day: a director was killed; it owes nothing any more
 	GaveUp   = "gave up"  // player: the time to wait is up
 	Returned = "returned" // day: a director has started again
+	Scripted = "scripted" // day: it begins; ID is its seed, Why its script
+	Acted    = "acted"    // day: something of its timeline was done; Why is what, as JSON
 	Earned   = "earned"   // node: what a session has earned by its end (Seconds)
 )
 
