--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -6,6 +6,7 @@
 	"reflect"
 	"runtime"
 	"testing"
+	"time"
 
 	"fordusher/internal/day"
 	"fordusher/internal/witness"
@@ -138,3 +139,56 @@
 		t.Fatal("a day that does not fail was cut down")
 	}
 }
+
+// The incident of a day on sockets, gone through again in virtual time: the same nodes die and start, in the
+// same order and at about the same times.
+func TestReplayOfASocketDay(t *testing.T) {
+	s, err := day.Read("short.jsonc", []byte(`{"length": "4s", "requests": 120, "directors": 2, "nodes": 8, "racks": 2, "titles": 6, "viewers": {"mean_length": "500ms"},
+		"troubles": [{"kind": "crash", "at": "500ms", "for": "1s", "share": 0.4}, {"kind": "balancer_roll", "at": "1s", "for": "1s", "share": 0.5, "size": 0.4},
+		{"kind": "hang", "at": "2s", "for": "500ms", "share": 0.2}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := day.Run(t.Context(), s, day.Options{Seed: 4})
+	if err != nil || !r.Kept() {
+		t.Fatal(r, err)
+	}
+	again, seed, actions, err := day.Replay(r.Records)
+	if err != nil || seed != 4 {
+		t.Fatal(seed, err)
+	}
+	v, err := Run(again, seed, Options{Actions: actions})
+	if err != nil || !v.Kept() {
+		t.Fatal(v, err)
+	}
+	type moment struct {
+		what, node string
+		at         time.Duration
+	}
+	moments := func(records []witness.Record, began time.Duration) (all []moment) {
+		for _, x := range records {
+			if x.What == witness.Died || x.What == witness.Started {
+				all = append(all, moment{x.What, x.Node, x.At - began})
+			}
+		}
+		return all
+	}
+	var began time.Duration
+	for _, x := range r.Records {
+		if x.What == witness.Scripted {
+			began = x.At
+		}
+	}
+	a, b := moments(r.Records, began), moments(v.Records, settle)
+	if len(a) < 6 || len(a) != len(b) {
+		t.Fatal(a, b)
+	}
+	for i := range a {
+		if a[i].what != b[i].what || a[i].node != b[i].node || (a[i].at-b[i].at).Abs() > 200*time.Millisecond {
+			t.Errorf("%v on sockets, %v again", a[i], b[i])
+		}
+	}
+	if _, _, _, err := day.Replay(nil); err == nil {
+		t.Error("an empty record is replayed")
+	}
+}
