--- a/internal/emulator/experiment.go
+++ b/internal/emulator/experiment.go
@@ -1,18 +1,14 @@
 package emulator
 
 import (
-	"bufio"
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"math"
 	"os"
 	"path/filepath"
 	"slices"
 	"strings"
 
-	"github.com/klauspost/compress/zstd"
 	"gonum.org/v1/gonum/stat"
 	"gonum.org/v1/gonum/stat/distuv"
 	"gonum.org/v1/plot"
@@ -23,6 +19,7 @@
 	"fordusher/internal/conf"
 	"fordusher/internal/day"
 	"fordusher/internal/director"
+	"fordusher/internal/kept"
 )
 
 // An Experiment is a grid of days in virtual time: each place of the grid is played with each policy on each
@@ -169,59 +166,20 @@
 	})
 }
 
-// Save keeps a trial as compressed lines of JSON.
-func (t *Trial) Save(file string) (err error) {
-	f, err := os.Create(file)
-	if err != nil {
-		return err
-	}
-	defer func() {
-		if e := f.Close(); err == nil {
-			err = e
-		}
-	}()
-	z, err := zstd.NewWriter(f)
-	if err != nil {
-		return err
-	}
-	e := json.NewEncoder(z)
-	if err := e.Encode(t); err != nil {
-		return err
-	}
-	for i := range t.Days {
-		if err := e.Encode(&t.Days[i]); err != nil {
-			return err
-		}
-	}
-	return z.Close()
-}
+// Save keeps a trial in a compressed file.
+func (t *Trial) Save(file string) error { return kept.Save(file, t, t.Days) }
 
 // LoadTrial reads what Save wrote.
 func LoadTrial(file string) (*Trial, error) {
-	f, err := os.Open(file)
-	if err != nil {
+	t, days, err := kept.Load[*Trial, Day](file)
+	switch {
+	case err != nil:
 		return nil, err
+	case t == nil || t.Name == "":
+		return nil, fmt.Errorf("%s: not an experiment's results", file)
 	}
-	defer f.Close()
-	z, err := zstd.NewReader(bufio.NewReader(f))
-	if err != nil {
-		return nil, fmt.Errorf("%s: %w", file, err)
-	}
-	defer z.Close()
-	t := &Trial{}
-	d := json.NewDecoder(z)
-	if err := d.Decode(t); err != nil || t.Name == "" {
-		return nil, fmt.Errorf("%s: not an experiment's results: %v", file, err)
-	}
-	for {
-		var x Day
-		if err := d.Decode(&x); err == io.EOF {
-			return t, nil
-		} else if err != nil {
-			return nil, fmt.Errorf("%s: day %d: %w", file, len(t.Days)+1, err)
-		}
-		t.Days = append(t.Days, x)
-	}
+	t.Days = days
+	return t, nil
 }
 
 // interval is the half width of the 95% confidence interval of a mean.
--- a/internal/load/archive.go
+++ b/internal/load/archive.go
@@ -1,15 +1,12 @@
 package load
 
 import (
-	"bufio"
-	"encoding/json"
 	"fmt"
-	"io"
-	"os"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-	"github.com/klauspost/compress/zstd"
+
+	"fordusher/internal/kept"
 )
 
 // A Head begins an archive.
@@ -46,64 +43,26 @@
 	Rows []Row
 }
 
-// Save writes an archive as compressed lines of JSON.
-func (a *Archive) Save(file string) (err error) {
-	f, err := os.Create(file)
-	if err != nil {
-		return err
-	}
-	defer func() {
-		if e := f.Close(); err == nil {
-			err = e
-		}
-	}()
-	z, err := zstd.NewWriter(f)
-	if err != nil {
-		return err
-	}
-	e := json.NewEncoder(z)
-	if err := e.Encode(a.Head); err != nil {
-		return err
-	}
-	for i := range a.Rows {
-		if err := e.Encode(&a.Rows[i]); err != nil {
-			return err
-		}
-	}
-	return z.Close()
-}
+// Save writes an archive to a compressed file.
+func (a *Archive) Save(file string) error { return kept.Save(file, a.Head, a.Rows) }
 
 // LoadArchive reads what Save wrote; a cut or foreign file is an error that names it.
 func LoadArchive(file string) (*Archive, error) {
-	f, err := os.Open(file)
-	if err != nil {
+	head, rows, err := kept.Load[Head, Row](file)
+	switch {
+	case err != nil:
 		return nil, err
+	case head.Scenario == nil:
+		return nil, fmt.Errorf("%s: not a load's results", file)
 	}
-	defer f.Close()
-	z, err := zstd.NewReader(bufio.NewReader(f))
-	if err != nil {
-		return nil, fmt.Errorf("%s: %w", file, err)
-	}
-	defer z.Close()
-	a := &Archive{}
-	d := json.NewDecoder(z)
-	if err := d.Decode(&a.Head); err != nil || a.Head.Scenario == nil {
-		return nil, fmt.Errorf("%s: not a load's results: %v", file, err)
-	}
-	for {
-		var r Row
-		if err := d.Decode(&r); err == io.EOF {
-			return a, nil
-		} else if err != nil {
-			return nil, fmt.Errorf("%s: row %d: %w", file, len(a.Rows)+1, err)
-		}
-		if len(r.Latency) > 0 {
+	for i := range rows {
+		if r := &rows[i]; len(r.Latency) > 0 {
 			if r.h, err = hdrhistogram.Decode(r.Latency); err != nil {
-				return nil, fmt.Errorf("%s: row %d: %w", file, len(a.Rows)+1, err)
+				return nil, fmt.Errorf("%s: row %d: %w", file, i+1, err)
 			}
 		}
-		a.Rows = append(a.Rows, r)
 	}
+	return &Archive{head, rows}, nil
 }
 
 // A Summary is one part over the measured seconds of all repeats of one run.
--- a/internal/witness/record.go
+++ b/internal/witness/record.go
@@ -3,17 +3,14 @@
 package witness
 
 import (
-	"bufio"
-	"encoding/json"
 	"fmt"
-	"io"
-	"os"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/klauspost/compress/zstd"
 	"golang.org/x/sys/unix"
+
+	"fordusher/internal/kept"
 )
 
 // Clock is the machine's monotonic clock, the same for every process on it.
@@ -106,60 +103,8 @@
 	slices.SortStableFunc(all, func(a, b Record) int { return int(min(1, max(-1, a.At-b.At))) })
 }
 
-// Save writes terms and records to a compressed file, one JSON value a line.
-func Save(file string, terms Terms, records []Record) (err error) {
-	f, err := os.Create(file)
-	if err != nil {
-		return err
-	}
-	defer func() {
-		if e := f.Close(); err == nil {
-			err = e
-		}
-	}()
-	z, err := zstd.NewWriter(f)
-	if err != nil {
-		return err
-	}
-	w := bufio.NewWriter(z)
-	e := json.NewEncoder(w)
-	if err = e.Encode(terms); err != nil {
-		return err
-	}
-	for i := range records {
-		if err = e.Encode(&records[i]); err != nil {
-			return err
-		}
-	}
-	if err = w.Flush(); err != nil {
-		return err
-	}
-	return z.Close()
-}
+// Save writes terms and records to a compressed file.
+func Save(file string, terms Terms, records []Record) error { return kept.Save(file, terms, records) }
 
 // Load reads what Save wrote. A file that was cut off is an error, never half a verdict.
-func Load(file string) (terms Terms, records []Record, err error) {
-	f, err := os.Open(file)
-	if err != nil {
-		return terms, nil, err
-	}
-	defer f.Close()
-	z, err := zstd.NewReader(f)
-	if err != nil {
-		return terms, nil, err
-	}
-	defer z.Close()
-	d := json.NewDecoder(z)
-	if err := d.Decode(&terms); err != nil {
-		return terms, nil, fmt.Errorf("%s: terms: %w", file, err)
-	}
-	for {
-		var x Record
-		if err := d.Decode(&x); err == io.EOF {
-			return terms, records, nil
-		} else if err != nil {
-			return terms, nil, fmt.Errorf("%s: record %d: %w", file, len(records)+1, err)
-		}
-		records = append(records, x)
-	}
-}
+func Load(file string) (Terms, []Record, error) { return kept.Load[Terms, Record](file) }
