--- a/internal/emulator/crowd.go
+++ b/internal/emulator/crowd.go
@@ -147,7 +147,7 @@
 		return
 	}
 	// The shortest way that there is: messages of one viewer keep their order.
-	p.in.put(at+c.w.opt.Network.High, func(at time.Duration) {
+	p.put(at+c.w.opt.Network.High, func(at time.Duration) {
 		if p.boot != boot || !p.up {
 			return
 		}
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -90,6 +90,7 @@
 	began  time.Duration
 	loop   *director.Loop
 	in     events
+	stale  bool   // its next time has to be worked out again
 	out    []sent // what it has sent within the window, in order
 	chance *rand.Rand
 	lasts  map[uint64]time.Duration // by link or connection: messages of one do not overtake each other
@@ -116,8 +117,15 @@
 	return next
 }
 
+// put puts something where the director finds it.
+func (p *post) put(at time.Duration, do func(at time.Duration)) {
+	p.stale = true
+	p.in.put(at, do)
+}
+
 // run lets a director work until the window ends.
 func (p *post) run(stop time.Duration) {
+	p.stale = true
 	for at := p.next(); at < stop; at = p.next() {
 		if p.in.next() <= at { // what happened comes before what is due
 			e := heap.Pop(&p.in).(event)
@@ -135,7 +143,7 @@
 // hear puts an input where the director finds it; what was meant for an earlier run of it is lost.
 func (p *post) hear(at time.Duration, in director.Input) {
 	boot := p.boot
-	p.in.put(at, func(at time.Duration) {
+	p.put(at, func(at time.Duration) {
 		if p.boot == boot && p.up {
 			p.step(at, in)
 		}
@@ -229,7 +237,7 @@
 		module = house.Module(seed)
 	}
 	p.loop = house.Loop(fmt.Sprint(p.boot), seed, module)
-	p.began, p.up = at, true
+	p.began, p.up, p.stale = at, true, true
 	p.in.all = nil
 	p.lasts, p.heard, p.nodes = map[uint64]time.Duration{}, map[uint64]time.Duration{}, map[uint64]int{}
 	p.hear(at+p.w.delay(p.chance), director.ListOpened{})
@@ -267,7 +275,9 @@
 			t = min(t, at)
 		}
 		for i, p := range w.posts {
-			nexts[i] = p.next()
+			if p.stale {
+				nexts[i], p.stale = p.next(), false
+			}
 			t = min(t, nexts[i])
 		}
 		if t >= end {
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -178,7 +178,7 @@
 		return
 	}
 	w.add(at, witness.Record{What: witness.Killed, Director: p.name})
-	p.up = false
+	p.up, p.stale = false, true
 	p.in.all = nil
 	w.ended(at, p)
 }
@@ -348,7 +348,7 @@
 		if p.boot != boot || !p.up {
 			continue
 		}
-		p.in.put(l.last, func(at time.Duration) {
+		p.put(l.last, func(at time.Duration) {
 			if p.boot != boot || !p.up {
 				return
 			}
@@ -449,7 +449,7 @@
 	if p.boot != boot || !p.up {
 		return
 	}
-	p.in.put(at+l.w.opt.Network.High, func(at time.Duration) {
+	p.put(at+l.w.opt.Network.High, func(at time.Duration) {
 		if p.boot != boot || !p.up {
 			return
 		}
