Import: names that are no UTF-8 are skipped; found by fuzzing

Cause: two servers whose names differ in bytes that are no text came out under one name in the result, which could not be read again.

Change: such a server is skipped by name.

--- a/internal/importer/carry.go
+++ b/internal/importer/carry.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"fordusher/internal/haproxy"
 	"fordusher/internal/wire"
@@ -206,6 +207,11 @@
 	}
 	one := func(name string, place place) bool {
 		at := s.Address
+		if !utf8.ValidString(name + s.Text + place.address) {
+			// What is no text has no place in the result, where different bytes would read the same.
+			l.Skip("server", "its name or address has bytes that are no UTF-8", "rename it")
+			return false
+		}
 		if place.address != "" {
 			host, port, err := net.SplitHostPort(place.address)
 			n, bad := strconv.Atoi(port)
--- a/internal/importer/importer_test.go
+++ b/internal/importer/importer_test.go
@@ -79,6 +79,7 @@
 		{"variable missing", "backend b\n server a \"$HOST:1\"\n server c h:1", "c=h:1/up/1/unlimited", map[int]string{2: "variables without a value: HOST"}},
 		{"disabled proxy", "backend b\n disabled\n server a h:1\nbackend c\n server a h:2", "a=h:2/up/1/unlimited", map[int]string{3: "ignored the proxy is disabled"}},
 		{"mode log", "backend b\n mode log\n server a h:1", "", map[int]string{3: "skipped"}},
+		{"names that are no text", "backend b\n server a\xff h:1\n server a\xfe h:2\n server c h:3", "c=h:3/up/1/unlimited", map[int]string{2: "no UTF-8", 3: "no UTF-8"}},
 		{"peers' servers", "peers p\n server a h:1\nbackend b\n server c h:2", "c=h:2/up/1/unlimited", map[int]string{2: "directors share nothing"}},
 	} {
 		r := run(t, x.text, "")
