--- a/cmd/fordusher/processes.go
+++ b/cmd/fordusher/processes.go
@@ -235,7 +235,7 @@
 }
 
 type nodeCommand struct {
-	Farm string `help:"What nodes there are: {\"seed\", \"site\", \"machines\"}; docs/stand-ins.md has the keys." required:"" type:"path"`
+	Farm string `help:"What nodes there are: {\"seed\", \"site\", \"machines\"}, as node.Site and node.Machine have them." required:"" type:"path"`
 }
 
 // Run starts stand-in nodes, prints their addresses as one JSON object, and takes orders on standard
--- a/internal/importer/against.go
+++ b/internal/importer/against.go
@@ -7,7 +7,6 @@
 	"github.com/tailscale/hujson"
 
 	"fordusher/internal/conf"
-	"fordusher/internal/wire"
 )
 
 // A Change is what is different from an earlier import.
@@ -120,12 +119,3 @@
 	}
 	return t.leaf
 }
-
-// Fleet is the nodes and titles of a filled-in file, as its reader has them.
-func Fleet(file string, text []byte) ([]wire.Entry, []wire.Title, *conf.House, error) {
-	h, err := conf.Read(file, text)
-	if err != nil {
-		return nil, nil, nil, err
-	}
-	return h.Nodes, h.Titles, h, nil
-}
