--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -9,6 +9,7 @@
 	"fordusher/internal/conf"
 	"fordusher/internal/day"
 	"fordusher/internal/director"
+	book "fordusher/internal/standin/list"
 	"fordusher/internal/standin/node"
 	"fordusher/internal/wire"
 	"fordusher/internal/witness"
@@ -72,16 +73,18 @@
 	w.farm = node.NewFarm(seed, y.Site, y.Machines)
 	n := len(y.Machines)
 	w.down, w.silent, w.hung, w.deaf = make([]bool, n), make([]bool, n), make([]bool, n), make([]time.Duration, n)
-	w.list = &list{w: w, nodes: map[string]known{}, told: map[uint64][]wire.Entry{}, directors: map[int]int{}, entries: slices.Clone(y.Entries)}
+	w.list = &list{w: w, directors: map[int]int{}, entries: slices.Clone(y.Entries)}
+	var listed []wire.Entry
 	for i, m := range y.Machines {
 		w.machine[m.Name] = i
 		w.deaf[i] = -1
 		if y.Entries[i].State == wire.Removed {
 			w.fault(0, node.Fault{Node: m.Name, Die: true})
 		} else {
-			w.list.nodes[m.Name] = known{Entry: w.entry(0, i, y.Entries[i].State)}
+			listed = append(listed, w.entry(0, i, y.Entries[i].State))
 		}
 	}
+	w.list.book = book.NewBook(listed)
 	for i := range s.Directors {
 		p := &post{w: w, number: i, name: day.DirectorName(i), chance: rand.New(rand.NewPCG(seed, uint64(i)<<8|22))}
 		w.posts = append(w.posts, p)
@@ -152,8 +155,8 @@
 		w.list.set(at, *a.List)
 	}
 	if a.Lag != nil {
-		w.list.lag = *a.Lag
-		w.list.run(at)
+		w.list.book.Lag(*a.Lag)
+		w.list.wake(at)
 	}
 	if a.Rate != nil {
 		w.crowd.rate = *a.Rate
@@ -364,84 +367,49 @@
 	}
 }
 
-// A list is the model of the list's source.
+// A list is the list's source: its book, and the directors that listen.
 type list struct {
 	w         *world
-	nodes     map[string]known // as it is told
-	entries   []wire.Entry     // of machines, as the list has or will have them
-	serial    uint64
-	told      map[uint64][]wire.Entry // by serial; at most keepSerials
-	changes   []change                // not told yet, by time
-	lag       time.Duration
-	directors map[int]int // boots of the directors that listen
+	book      *book.Book
+	entries   []wire.Entry  // of machines, as the list has or will have them
+	directors map[int]int   // boots of the directors that listen
+	rings     time.Duration // the next run that is arranged; 0: none
 }
 
-type known struct {
-	wire.Entry
-	born time.Duration // 0: long ago
-}
-
-type change struct {
-	at   time.Duration
-	line known
-}
-
-const keepSerials = 4096
-
 func (l *list) set(at time.Duration, word day.Word) {
 	if word.Entry != nil {
 		l.entries[word.Machine] = *word.Entry
 	}
-	line := known{Entry: l.w.entry(at, word.Machine, word.State)}
+	born := time.Duration(0)
 	if word.Born {
-		line.born = at
+		born = at
 	}
-	l.changes = append(l.changes, change{at + word.Late, line})
-	slices.SortStableFunc(l.changes, func(a, b change) int { return int(min(1, max(-1, a.at-b.at))) })
-	l.wake(at + word.Late + l.lag)
+	l.book.Set(l.w.entry(at, word.Machine, word.State), born, at+word.Late)
+	l.wake(at)
 }
 
-func (l *list) wake(at time.Duration) { l.w.events.put(at, l.run) }
+// wake runs the list when something is due.
+func (l *list) wake(now time.Duration) {
+	if at, ok := l.book.Next(); ok && (l.rings == 0 || at < l.rings) {
+		l.rings = max(now, at)
+		l.w.events.put(l.rings, l.run)
+	}
+}
 
 // run tells what is due.
 func (l *list) run(at time.Duration) {
-	var entries []wire.Entry
-	for len(l.changes) > 0 && l.changes[0].at+l.lag <= at {
-		line := l.changes[0].line
-		l.changes = l.changes[1:]
-		l.nodes[line.Node] = line
-		entries = append(entries, line.aged(at))
-		if line.State == wire.Removed {
-			delete(l.nodes, line.Node)
-		}
-	}
-	if len(l.changes) > 0 {
-		l.wake(max(at+time.Millisecond, l.changes[0].at+l.lag))
-	}
-	if len(entries) == 0 {
-		return
-	}
-	l.keep(entries)
-	raw := wire.Encode(wire.List{Type: wire.Update, Serial: l.serial, Nodes: entries})
-	for i, p := range l.w.posts {
-		if boot, listens := l.directors[i]; listens {
-			l.tell(at, p, boot, raw)
+	if at == l.rings {
+		l.rings = 0
+	}
+	if m, ok := l.book.Due(at); ok {
+		raw := wire.Encode(m)
+		for i, p := range l.w.posts {
+			if boot, listens := l.directors[i]; listens {
+				l.tell(at, p, boot, raw)
+			}
 		}
 	}
-}
-
-func (k known) aged(at time.Duration) wire.Entry {
-	e := k.Entry
-	if k.born != 0 {
-		e.Age = max(1, (at - k.born).Milliseconds())
-	}
-	return e
-}
-
-func (l *list) keep(entries []wire.Entry) {
-	l.serial++
-	l.told[l.serial] = entries
-	delete(l.told, l.serial-keepSerials)
+	l.wake(at)
 }
 
 // tell is a message to a director: in order, as on one connection.
@@ -477,16 +445,9 @@
 			l.w.add(at, witness.Record{What: witness.Listens, Director: m.Director})
 		}
 		l.directors[p.number] = boot
-		var all []wire.Entry
-		for i := range l.entries {
-			if k, there := l.nodes[l.entries[i].Node]; there {
-				all = append(all, k.aged(at))
-			}
-		}
-		l.keep(all)
-		l.tell(at, p, boot, wire.Encode(wire.List{Type: wire.Whole, Serial: l.serial, Nodes: all, Titles: l.w.layout.Titles}))
+		l.tell(at, p, boot, wire.Encode(l.book.Whole(at, l.w.layout.Titles)))
 	case wire.Heard:
-		for _, e := range l.told[m.Serial] {
+		for _, e := range l.book.Told(m.Serial) {
 			l.w.add(at, witness.Record{What: witness.Told, Director: m.Director, Node: e.Node, State: e.State})
 		}
 	}
--- /dev/null
+++ b/internal/standin/list/book.go
@@ -0,0 +1,102 @@
+package list
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"fordusher/internal/wire"
+)
+
+// A Book is the model of the list's source, without sockets or a clock: what is told of each node, what is to be
+// told later, and what was told under which serial. The source on sockets and the emulator keep one each.
+type Book struct {
+	nodes   map[string]line // as it is told
+	changes []change        // not told yet, by time
+	lag     time.Duration
+	serial  uint64
+	told    map[uint64][]wire.Entry // by serial, until every director has heard it; at most keepSerials
+}
+
+type line struct {
+	wire.Entry
+	born time.Duration // 0: long ago
+}
+
+type change struct {
+	at   time.Duration
+	line line
+}
+
+const keepSerials = 4096
+
+// NewBook starts with nodes that have long been there.
+func NewBook(nodes []wire.Entry) *Book {
+	b := &Book{nodes: map[string]line{}, told: map[uint64][]wire.Entry{}}
+	for _, e := range nodes {
+		b.nodes[e.Node] = line{Entry: e}
+	}
+	return b
+}
+
+// Set changes a node's line, to be told at a time and the lag that there is then.
+func (b *Book) Set(e wire.Entry, born, at time.Duration) {
+	b.changes = append(b.changes, change{at, line{e, born}})
+	slices.SortStableFunc(b.changes, func(x, y change) int { return int(min(1, max(-1, x.at-y.at))) })
+}
+
+// Lag makes the source run so much further behind.
+func (b *Book) Lag(by time.Duration) { b.lag = by }
+
+// Next is when something is due to be told; ok is false where nothing is.
+func (b *Book) Next() (at time.Duration, ok bool) {
+	if len(b.changes) == 0 {
+		return 0, false
+	}
+	return b.changes[0].at + b.lag, true
+}
+
+// Due is the update that is to be told now; ok is false where there is none.
+func (b *Book) Due(now time.Duration) (m wire.List, ok bool) {
+	var entries []wire.Entry
+	for at, some := b.Next(); some && at <= now; at, some = b.Next() {
+		l := b.changes[0].line
+		b.changes = b.changes[1:]
+		b.nodes[l.Node] = l
+		entries = append(entries, l.aged(now))
+		if l.State == wire.Removed {
+			delete(b.nodes, l.Node)
+		}
+	}
+	if len(entries) == 0 {
+		return m, false
+	}
+	return wire.List{Type: wire.Update, Serial: b.keep(entries), Nodes: entries}, true
+}
+
+// Whole is all that there is now.
+func (b *Book) Whole(now time.Duration, titles []wire.Title) wire.List {
+	var all []wire.Entry
+	for _, name := range slices.Sorted(maps.Keys(b.nodes)) {
+		all = append(all, b.nodes[name].aged(now))
+	}
+	return wire.List{Type: wire.Whole, Serial: b.keep(all), Nodes: all, Titles: titles}
+}
+
+// Told is what was told under a serial.
+func (b *Book) Told(serial uint64) []wire.Entry { return b.told[serial] }
+
+func (b *Book) keep(entries []wire.Entry) uint64 {
+	b.serial++
+	b.told[b.serial] = entries
+	delete(b.told, b.serial-keepSerials)
+	return b.serial
+}
+
+func (l line) aged(now time.Duration) wire.Entry {
+	e := l.Entry
+	if l.born != 0 {
+		e.Age = max(1, (now - l.born).Milliseconds())
+	}
+	return e
+}
