--- a/closing/closing_test.go
+++ b/closing/closing_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	_ "fordusher/internal/seeded"
 )
 
 // Everything is let go by the term, whatever there was, and never more at once than the doubling or the
--- a/internal/load/scenario_test.go
+++ b/internal/load/scenario_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"pgregory.net/rapid"
+
+	_ "fordusher/internal/seeded"
 )
 
 func TestShippedScenariosAreRead(t *testing.T) {
--- a/internal/wheel/wheel_test.go
+++ b/internal/wheel/wheel_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	_ "fordusher/internal/seeded"
 )
 
 const ms = time.Millisecond
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1,27 +1,15 @@
 package policy
 
 import (
-	"flag"
 	"math"
-	"os"
 	"slices"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
-)
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{
-		"rapid.seed": "20261201", "rapid.nofailfile": "true", "rapid.checks": "150",
-	} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+	_ "fordusher/internal/seeded"
+)
 
 // The first case is the paper's worked example.
 func TestFairRate(t *testing.T) {
--- a/reach/reach_test.go
+++ b/reach/reach_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	_ "fordusher/internal/seeded"
 )
 
 var pace = Pace{First: 100 * time.Millisecond, Most: time.Second, AtOnce: 3, Ping: time.Second}
--- a/turnover/turnover_test.go
+++ b/turnover/turnover_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	_ "fordusher/internal/seeded"
 )
 
 var terms = Terms{Cells: 8, Racks: 2, PerRack: 2, PerTitle: 1, Cold: 2, Warm: 5 * time.Second, Drain: 10 * time.Second, Notice: time.Second}
