A node replaced under its name counts as new where no age is told; absurd ages; moved without age

(2) A list without ages that moved a node whose own age was known was taken for a list that is behind, and its new address dropped for good. (3) An age_ms over 9.2e12 wrapped round into the future: cold for 114,685 hours.

Lines at fault: nodes.go, hello (anew only where an age came) and entry (LongAgo compared with the node's own word; the address was set after hanging up, so the first try still went to the old one).

Change: another start than a known one, or a name that a later list is the first to tell, began now at the latest; the start before the last is remembered, so that a list that is behind is known without ages; ages over a year are long ago.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -239,6 +239,7 @@
 	places   []*node             // by small index, for reach; a place is used again
 	free     []int
 	titles   map[string]title // as long as the list's catalogue
+	listed   bool             // a whole list has come
 
 	lastSession, lastLeg, lastLink uint64
 
--- a/internal/director/nodes.go
+++ b/internal/director/nodes.go
@@ -21,6 +21,7 @@
 	listed  bool
 	open    bool   // it may take sessions
 	start   uint64 // which start of it this is
+	former  uint64 // which it was in before; 0: none known
 	born    time.Duration
 	trying  bool // being connected to
 	up      bool // connected
@@ -205,15 +206,15 @@
 // Set-ups wait for it: what was meant for a node before it started anew must not reach it unawares, cold as it
 // is then, from all directors at once.
 func (l *Loop) hello(n *node, m wire.Node) {
-	n.reached, n.since = m.Start, policy.LongAgo
-	if m.Age > 0 {
-		n.since = l.now - time.Duration(m.Age)*time.Millisecond
-	}
+	n.reached, n.since = m.Start, l.bornBy(m.Age)
 	n.greeted = true
 	anew := false
 	if m.Start != 0 && n.listed {
-		anew = m.Age > 0 && (m.Start != n.start || n.since > n.born+sameStart)
-		n.start = m.Start
+		if n.since == policy.LongAgo && n.start != 0 && m.Start != n.start {
+			n.since = l.now // another start of it was known: this one can't be from long ago
+		}
+		anew = n.since != policy.LongAgo && (m.Start != n.start || n.since > n.born+sameStart)
+		n.begin(m.Start)
 		if anew {
 			n.born = n.since
 			n.entry.Born = n.born
@@ -231,6 +232,25 @@
 	}
 }
 
+// begin notes which start a node is in.
+func (n *node) begin(start uint64) {
+	if start != n.start {
+		n.former, n.start = n.start, start
+	}
+}
+
+// forgotten is how long ago a start may lie and still be told as a time.
+const forgotten = 365 * 24 * time.Hour
+
+// bornBy is when something started that tells its age in milliseconds: LongAgo where it tells none, or one so large
+// that it is no time any more.
+func (l *Loop) bornBy(age int64) time.Duration {
+	if age <= 0 || age > forgotten.Milliseconds() {
+		return policy.LongAgo
+	}
+	return l.now - time.Duration(age)*time.Millisecond
+}
+
 // The list.
 
 var states = map[string]policy.NodeState{
@@ -252,6 +272,7 @@
 			}
 		}
 		clear(l.titles)
+		defer func() { l.listed = true }()
 	case wire.Update:
 	default:
 		l.counts.BadWord++
@@ -288,8 +309,12 @@
 // entry takes a node's line of the list into the books and puts it into the module's words.
 func (l *Loop) entry(e wire.Entry) policy.Entry {
 	n := l.nodes[e.Node]
+	born := l.bornBy(e.Age)
 	if n == nil && e.State != wire.Removed {
 		n = &node{name: e.Node, born: policy.LongAgo, legs: map[uint64]*leg{}}
+		if born == policy.LongAgo && l.listed { // it was not on the list before: who knows better says so
+			born = l.now
+		}
 		if k := len(l.free); k > 0 {
 			n.place, l.free = l.free[k-1], l.free[:k-1]
 			l.places[n.place] = n
@@ -309,36 +334,37 @@
 	if n == nil {
 		return out
 	}
-	born := policy.LongAgo
-	if e.Age > 0 {
-		born = l.now - time.Duration(e.Age)*time.Millisecond
-	}
-	if n.up && n.reached != 0 && e.Start != n.reached && born < n.since && e.State != wire.Removed {
+	moved := e.Address != n.address && e.Address != ""
+	if n.up && n.reached != 0 && e.Start != n.reached && e.State != wire.Removed && l.behind(n, e, born, moved) {
 		// The list is behind: it tells of a start before the one that the node itself has told of. To hang up
 		// for that would break what plays there.
 		out.Born = n.born
 		n.open, n.entry = e.State == wire.Up, out
 		return out
 	}
-	anew := !n.listed || e.Start != n.start || e.Address != n.address && e.Address != ""
-	if e.Age > 0 && (anew || born > n.born+sameStart) {
+	changed := e.Start != n.start
+	if changed && born == policy.LongAgo && n.start != 0 && e.Start != 0 {
+		born = l.now // another start of it was known: this one can't be from long ago
+	}
+	anew := !n.listed || changed || moved
+	if born != policy.LongAgo && (anew || born > n.born+sameStart) {
 		n.born = born
 	}
 	out.Born = n.born
-	n.start, n.open, n.entry = e.Start, e.State == wire.Up, out
+	n.begin(e.Start)
+	n.open, n.entry = e.State == wire.Up, out
 	switch {
 	case e.State == wire.Removed:
 		l.unlist(n)
 	case anew:
-		moved := e.Address != n.address && e.Address != ""
+		if moved {
+			n.address = e.Address
+		}
 		if n.up && (moved || n.reached != 0 && n.reached != e.Start) {
 			l.do(HangUp{n.link}) // it leads to what no longer runs
 			l.linkLost(LinkLost{Link: n.link})
 		}
 		n.listed = true
-		if moved {
-			n.address = e.Address
-		}
 		if !n.up {
 			l.reached(reach.Event{Node: n.place, What: reach.Listed})
 		}
@@ -346,6 +372,16 @@
 	return out
 }
 
+// behind tells whether the list speaks of a start before the one that a connected node has told of itself. Where the
+// list tells no age, that is a start known before; of one that was never heard of, the connection knows best as long
+// as the node is still where it leads to.
+func (l *Loop) behind(n *node, e wire.Entry, born time.Duration, moved bool) bool {
+	if born != policy.LongAgo {
+		return born < n.since
+	}
+	return e.Start == n.former || !moved
+}
+
 func (l *Loop) unlist(n *node) {
 	n.open = false
 	if n.listed {
--- a/internal/director/properties_test.go
+++ b/internal/director/properties_test.go
@@ -129,9 +129,15 @@
 
 // Rule 4: what all directors together set up on a node that has just started stays under its fall budget.
 func TestRule4ColdNodesArePaced(t *testing.T) {
-	holds(t, scarce(), func(c *charter) {
-		c.module = func(g *given) { g.ramp.Multiple *= 10 }
-	})
+	for name, ages := range map[string]bool{"ages": true, "no ages": false} {
+		t.Run(name, func(t *testing.T) {
+			c := scarce()
+			c.ages = ages
+			holds(t, c, func(c *charter) {
+				c.module = func(g *given) { g.ramp.Multiple *= 10 }
+			})
+		})
+	}
 }
 
 // Rule 5: no rung under a tariff's floor, no more sessions of a title at a director than it has seats, set-ups included.
