Cells beyond the fleet's are counted round; a node put into another rack takes its bookings along

Seen, each by a test that fails without this change: a title whose base the list counts past the last cell by more than the fleet has cells was set up on nodes that do not hold it (Go's remainder is negative there, and any negative number is under copies); a node that the list put into another rack left what its sessions carry booked at the old rack for ever, and the new rack's count went under zero as they ended.

Lines at fault: policy.go, choose and roster.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -283,10 +283,10 @@
 // come last, for a paid session only where all are: trouble that strikes all is not theirs.
 func (d *Director) choose(s *session, t *Tariff) int {
 	var roomy, aside []int
-	well, least := 0, d.rungs.rate(s, t.Floor)
+	well, least, cells := 0, d.rungs.rate(s, t.Floor), d.gauge.fleet.Cells
 	for i := range d.nodes {
 		n := &d.nodes[i]
-		if n.name == "" || n.listed != Up || (n.cell-s.Base+d.gauge.fleet.Cells)%d.gauge.fleet.Cells >= s.Copies {
+		if n.name == "" || n.listed != Up || (n.cell+cells-s.Base%cells)%cells >= s.Copies {
 			continue
 		}
 		may := n.health.may(n.outs, t.Paid, d.now)
@@ -708,7 +708,9 @@
 			n.health, n.doubted, n.warmAt = health{}, -1, 0
 		}
 		n.listed, n.zone, n.cell, n.kind, n.born = x.State, x.Zone, x.Cell, x.Kind, x.Born
+		d.gauge.racks[n.rack].own -= n.own
 		n.rack = x.Cell % len(d.gauge.racks)
+		d.gauge.racks[n.rack].own += n.own
 		n.size = d.gauge.fleet.LinkUnit * x.Weight
 		if n.size <= 0 {
 			n.size = max(1, d.gauge.fleet.LinkUnit)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -303,3 +303,30 @@
 		}
 	})
 }
+
+// The list put a node into another rack under the same name, and what its sessions carry stayed booked at the old one.
+func TestMovedNodeTakesItsBookingsAlong(t *testing.T) {
+	d, list := still(false, 3)
+	d.gauge.racks = make([]rack, 3)
+	hear(d, 1, time.Second, 0.5)
+	list[0].Cell = 2
+	d.Step(2*time.Second, Roster{Kind: Update, Entries: list[:1]})
+	if own := d.gauge.racks[2].own; own != 200 {
+		t.Fatalf("%v kB/s booked at the new rack", own)
+	}
+	d.Step(3*time.Second, Result{ID: 1, Node: "a", Outcome: Served, Final: true, Load: NoLoad})
+	for i, r := range d.gauge.racks {
+		if r.own != 0 {
+			t.Fatalf("%v kB/s left at rack %d", r.own, i)
+		}
+	}
+}
+
+// A title whose first cell the list counted past the last one was set up on nodes that do not hold it.
+func TestCellsAreCountedRound(t *testing.T) {
+	d, _ := still(false, 1) // three cells, a node in each
+	out, ok := find[Dispatch](d.Step(0, Demand{ID: 1, Base: 3*7 + 1, Copies: 1, HardStop: time.Hour}))
+	if !ok || out.Node != "b" {
+		t.Fatalf("sent to %q", out.Node)
+	}
+}
