A successor under the same name is not held to be as full as its predecessor was

Seen, by a test that fails without this change: a node that the list told to have started anew kept the link figure, the stream count and the short-delivery mark of the process before: link 1.20 and 19 streams on an empty node, for as long as the figure lasts and half of it 10 s later. Health, doubt and pace were reset already; the pace of what was sent lately is kept on purpose.

Ruled out: sessions of the predecessor, which leave the books by their results.

Lines at fault: policy.go, roster.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -704,8 +704,9 @@
 				use: meter{of: LongAgo / 2}}
 		}
 		n := &d.nodes[i]
-		if x.Born > n.born && known { // what was seen of it before has ended
+		if x.Born > n.born && known { // what was seen and heard of it before has ended
 			n.health, n.doubted, n.warmAt = health{}, -1, 0
+			n.use, n.reported, n.shortAt = meter{of: LongAgo / 2}, -1, -rescoreEvery
 		}
 		n.listed, n.zone, n.cell, n.kind, n.born = x.State, x.Zone, x.Cell, x.Kind, x.Born
 		d.gauge.racks[n.rack].own -= n.own
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -330,3 +330,15 @@
 		t.Fatalf("sent to %q", out.Node)
 	}
 }
+
+// A successor under the same name was held to be as full as its predecessor was.
+func TestSuccessorStartsWithoutFigures(t *testing.T) {
+	d, list := still(false, 3)
+	hear(d, 1, time.Second, 1.4)
+	d.Step(time.Second, Result{ID: 1, Node: "a", Outcome: Reset, Final: true, Load: Load{19, -1, -1}})
+	list[0].Born = 1500 * time.Millisecond
+	d.Step(2*time.Second, Roster{Kind: Update, Entries: list[:1]})
+	if n := &d.nodes[0]; n.use.known || n.reported >= 0 || d.gauge.link(n) > unheard {
+		t.Fatalf("link %.2f, streams %v", d.gauge.link(n), n.reported)
+	}
+}
