A node that the list drops and names again keeps its pace, its pause and its doubt

A list that names, drops and names a cold node again made a director forget what it had sent there: 40 set-ups within 40 ms where its budget is 4. What it had seen fail it forgot likewise.

Ruled out: the loop (told the truth by the list each time), a drain and its end (the node stays on the list), sessions under way (they kept the node before too).

Lines at fault: state.go, dropNode.

Change: a node that left the list is forgotten once nothing of it would count any more, looked at each pulse; a second test holds it to being forgotten.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -225,6 +225,9 @@
 			d.rescore(s)
 		}
 	}
+	for i := range d.nodes {
+		d.dropNode(i)
+	}
 }
 
 // Placing.
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -342,3 +342,37 @@
 		t.Fatalf("link %.2f, streams %v", d.gauge.link(n), n.reported)
 	}
 }
+
+// it fail: it sent its whole part of the fall budget twice.
+func TestFlappingListIsNoFreshStart(t *testing.T) {
+	d, list := still(false, 1)
+	d.warmth.handed = true
+	list[0].Born = time.Second
+	sent := 0
+	for id := uint64(1); id <= 40; id++ {
+		now := 2*time.Second + time.Duration(id)*time.Millisecond
+		for _, word := range [][]Entry{list[1:], list} {
+			d.Step(now, Roster{Kind: Replace, Entries: word})
+		}
+		if _, ok := find[Dispatch](d.Step(now, Demand{ID: id, Copies: 1, HardStop: now + time.Hour})); ok {
+			sent++
+			d.Step(now, Result{ID: id, Node: "a", Outcome: Full, Final: true, Load: NoLoad})
+			d.nodes[0].use = meter{}
+		}
+	}
+	if sent > 4 { // 4 x 20 places x 0.5 over 10 s, for the tipping time of one
+		t.Fatalf("%d set-ups within 40 ms", sent)
+	}
+}
+
+// A node that was dropped from the list is forgotten once nothing of it can matter any more.
+func TestGoneNodesAreForgotten(t *testing.T) {
+	d, list := still(false, 1)
+	hear(d, 1, time.Second, 1)
+	d.Step(time.Second, Result{ID: 1, Node: "a", Outcome: Reset, Final: true, Load: NoLoad})
+	d.Step(2*time.Second, Roster{Kind: Replace, Entries: list[1:]})
+	d.Step(30*time.Second, Ring{})
+	if _, there := d.names.find("a"); there {
+		t.Fatal("still known 28 s after it left the list")
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -220,9 +220,15 @@
 	}
 }
 
-// dropNode forgets a node that is off the list once none of its sessions is left.
+// dropNode forgets a node that is off the list once none of its sessions is left, and nothing that would still
+// count if the list named it again: what was sent there lately, its pause after a fault, its doubt.
 func (d *Director) dropNode(i int) {
-	if n := &d.nodes[i]; n.listed == Removed && n.legs == 0 {
+	n := &d.nodes[i]
+	if n.sends = recent(n.sends, d.now-d.warmth.fill()); len(n.sends) > 0 || d.now < max(n.health.until, n.warmAt) ||
+		n.doubted >= 0 && d.now < n.doubted+d.warmth.ramp.Warmup {
+		return
+	}
+	if n.listed == Removed && n.legs == 0 {
 		d.names.leave(n.name)
 		*n = node{}
 	}
