A node set aside is tried by paid sessions too, once no free one has come for eight pauses

Seen, by a test that fails without this change: on a fleet of paid tariffs alone (or where no free title lies on the same nodes) a node that had failed once was never tried again while another holder was well, be that one full: a fleet lost node after node for good.

Ruled out: the trickle of free set-ups, which ends a pause where there are any, and holders that are all set aside (paid sessions go there).

Lines at fault: policy.go, health.may (never for paid) with choose (only where no holder is well).

Change: after eight more pauses without word, a paid leg may go, one at a time, doubling while it goes well. A paid session risks its attempt on it as on any node that nothing is known of.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -731,17 +731,24 @@
 // Health, from symptoms alone.
 
 // pauseLegs is how many leg times a node is left alone after a failed leg; trusted is the trickle
-// at which a node counts as well again.
+// at which a node counts as well again; untried is after how many more pauses a paid leg is let through too.
 const (
 	pauseLegs = 8
 	trusted   = 8
+	untried   = 8
 )
 
+// may tells whether a leg may go to a node. One that was set aside gets a trickle of free ones first, and of paid ones
+// only once no free one has come for long: it guards a fleet of paid tariffs against losing node after node for good.
 func (h *health) may(outs int, paid bool, now time.Duration) bool {
 	if h.trickle == 0 {
 		return true
 	}
-	return !paid && now >= h.until && outs < h.trickle
+	from := h.until
+	if paid {
+		from += untried * h.pause
+	}
+	return now >= from && outs < h.trickle
 }
 
 func (h *health) wentWell() (well bool) {
@@ -769,7 +776,8 @@
 	if n.health.trickle == 0 {
 		d.log("node %s set aside: outcome %d after %v", n.name, o, d.now-s.sent)
 	}
-	n.health = health{1, d.now + pauseLegs*legTime(d.rungs.tariffs[s.Tariff].GoalTime)}
+	pause := pauseLegs * legTime(d.rungs.tariffs[s.Tariff].GoalTime)
+	n.health = health{1, pause, d.now + pause}
 }
 
 // Warmth: what a node that may have just started can take.
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -254,7 +254,7 @@
 	d, _ := still(true, 300)
 	d.warmth.handed = true
 	for i := range d.nodes {
-		d.nodes[i].health = health{1, time.Hour}
+		d.nodes[i].health = health{1, time.Hour, time.Hour}
 	}
 	if _, ok := find[Dispatch](d.Step(0, Demand{ID: 1, Copies: 3, HardStop: time.Hour})); !ok {
 		t.Fatal("all three are set aside, and none is tried")
@@ -376,3 +376,25 @@
 		t.Fatal("still known 28 s after it left the list")
 	}
 }
+
+// be that one full.
+func TestPaidFleetComesBackToANode(t *testing.T) {
+	d, _ := still(true, 1)
+	d.warmth.handed = true
+	d.Step(0, Demand{ID: 1, Copies: 1, HardStop: 4 * time.Second})
+	d.Step(0, Result{ID: 1, Node: "a", Outcome: Errored, Load: NoLoad})
+	sent := 0
+	for id := uint64(2); id < 40; id++ {
+		now := time.Hour + time.Duration(id)*time.Second
+		if out, ok := find[Dispatch](d.Step(now, Demand{ID: id, Copies: 3, HardStop: now + time.Second})); ok {
+			if out.Node == "a" {
+				sent++
+			}
+			d.Step(now, Accepted{id})
+			d.Step(now, Result{ID: id, Node: out.Node, Outcome: Served, Final: true, Load: NoLoad})
+		}
+	}
+	if sent == 0 {
+		t.Fatal("an hour after one error the node is never tried")
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -174,6 +174,7 @@
 // time and then gets so many legs at once, twice as many after each that goes well.
 type health struct {
 	trickle int
+	pause   time.Duration
 	until   time.Duration
 }
 
