Logs never stop the loop and are bounded; peers' faults are told of again; looks change nothing

(2) Only the first malformed message ever, by kind of peer, was told of: one line for 50 peers. (3) Each look at the metrics set the loop's lateness back, so of two who look one sees nothing. (4) Any number of looks that never read were held at one time, for ever. (5) A close reason that quotes the peer's bytes was cut in the middle of a letter.

Ruled out: zerolog's diode, which does not wait either but overwrites the oldest lines, those that tell how an event began; its samplers drop without a count.

Lines at fault: serve.go (the logger on standard error, the metrics server), daemon.go (malformed, late.Swap), transport.go (end).

Change: package internal/herald: 200 lines at once, 10 a second from then on, 1,024 that wait for a reader, the first ones kept, the others counted, said and in the metrics. Malformed messages: three at once and one each 10 s, with peer, cause and count. Four looks at a time, 30 s each. Messages that a kind of peer does not send are in the metrics; advice that was dropped was counted and read by nobody, and is no longer.

--- a/cmd/fordusher/day.go
+++ b/cmd/fordusher/day.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"runtime/pprof"
@@ -81,7 +82,7 @@
 	defer stop()
 	log := zerolog.Nop()
 	if c.Logs {
-		log = logger()
+		log = logger(os.Stderr)
 	}
 	opt := day.Options{Seed: c.Seed, Log: log, Slack: c.Slack, Progress: func(line string) { fmt.Fprintln(os.Stderr, line) }}
 	opt.Module = day.Baselines[c.Baseline]
@@ -172,7 +173,7 @@
 	return nil
 }
 
-func logger() zerolog.Logger {
+func logger(out io.Writer) zerolog.Logger {
 	zerolog.TimeFieldFormat = time.RFC3339Nano
-	return zerolog.New(os.Stderr).With().Timestamp().Logger()
+	return zerolog.New(out).With().Timestamp().Logger()
 }
--- a/cmd/fordusher/serve.go
+++ b/cmd/fordusher/serve.go
@@ -23,6 +23,7 @@
 
 	"fordusher/internal/conf"
 	"fordusher/internal/daemon"
+	"fordusher/internal/herald"
 )
 
 type serveCommand struct {
@@ -54,7 +55,9 @@
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(400) // a director's heap is small, and its time is not
 	}
-	logger := logger()
+	lines := herald.New(os.Stderr)
+	defer lines.Close(time.Second)
+	logger := logger(lines)
 	var descriptors syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &descriptors); err != nil {
 		return fmt.Errorf("the limit on descriptors: %w", err)
@@ -76,8 +79,10 @@
 			return fmt.Errorf("metrics at %s: %w", house.Metrics, err)
 		}
 		reg := prometheus.NewRegistry()
-		reg.MustRegister(d, collectors.NewGoCollector())
-		server := &http.Server{Handler: figures(reg), ReadHeaderTimeout: 5 * time.Second}
+		reg.MustRegister(d, collectors.NewGoCollector(), prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "fordusher_log_lines_left_out_total", Help: "log lines left out: too many at once, or nobody read them",
+		}, func() float64 { return float64(lines.LeftOut()) }))
+		server := &http.Server{Handler: figures(reg), ReadHeaderTimeout: 5 * time.Second, WriteTimeout: lookMost, IdleTimeout: lookMost}
 		go server.Serve(ln)
 		defer server.Close()
 		told.Metrics = ln.Addr().String()
@@ -111,10 +116,17 @@
 	return nil
 }
 
+// A look at the metrics may take so long, and so many may look at one time: who does not read holds no more of the
+// director's descriptors and memory than that.
+const (
+	lookMost  = 30 * time.Second
+	looksMost = 4
+)
+
 // figures serves a process's metrics, and the profiles of the standard library beside them.
 func figures(reg *prometheus.Registry) http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("/metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{}))
+	mux.Handle("/metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{MaxRequestsInFlight: looksMost}))
 	mux.HandleFunc("/debug/pprof/", httppprof.Index)
 	return mux
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"runtime"
 	"runtime/metrics"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/gobwas/ws"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 
 	"fordusher/internal/conf"
 	"fordusher/internal/director"
@@ -46,15 +48,33 @@
 	lastConn atomic.Uint64
 	seen     atomic.Pointer[snapshot]
 	refused  [3]atomic.Int64 // malformed messages of players, nodes, the list
+	complain [3]rate.Sometimes
 	flooded  atomic.Int64
 	skew     atomic.Int64 // by Jump
-	late     atomic.Int64 // the loop's greatest lateness since the last look, nanoseconds
+	late     lateness     // of the loop's goroutine
+}
+
+// lateness is the loop's greatest lateness in a span and in the one before, so that who looks changes nothing.
+type lateness struct {
+	now, before time.Duration
+	ends        time.Duration
+}
+
+// lateSpan is longer than the usual time between two looks at the metrics.
+const lateSpan = 15 * time.Second
+
+func (l *lateness) note(now, late time.Duration) {
+	if now >= l.ends {
+		l.before, l.now, l.ends = l.now, 0, now+lateSpan
+	}
+	l.now = max(l.now, late)
 }
 
 type snapshot struct {
 	counts                     director.Counts
 	owed, playing, legs, links int
 	players                    int
+	late                       time.Duration
 	used, busy                 int
 	mode                       limits.Mode
 }
@@ -67,6 +87,9 @@
 		quit:  make(chan struct{}), done: make(chan struct{}),
 		players: map[uint64]*transport.Conn{}, links: map[uint64]*transport.Conn{},
 	}
+	for i := range d.complain {
+		d.complain[i] = rate.Sometimes{First: 3, Interval: complainEvery}
+	}
 	d.seen.Store(&snapshot{})
 	var err error
 	d.server, err = transport.Serve(house.Listen, wire.SessionProtocol, house.Door.Players, players{d})
@@ -214,7 +237,7 @@
 		}
 		now := d.now()
 		if next := d.loop.Next(); next <= now {
-			d.late.Store(max(d.late.Load(), int64(now-next)))
+			d.late.note(now, now-next)
 			runtime.Gosched() // what is due may come in many slices; whoever reads from peers gets a turn between them
 			ended = d.carryOut(d.loop.Step(now, director.Tick{})) || ended
 		}
@@ -281,7 +304,8 @@
 }
 
 func (d *Daemon) snap() {
-	s := &snapshot{players: len(d.players)}
+	d.late.note(d.now(), 0)
+	s := &snapshot{players: len(d.players), late: max(d.late.now, d.late.before)}
 	s.used, s.busy, s.mode = d.loop.Room()
 	s.counts, s.owed, s.playing, s.legs, s.links = d.loop.Counts()
 	d.seen.Store(s)
@@ -442,13 +466,27 @@
 	closeData   = 1007
 )
 
+// complainEvery is how often a malformed message of each kind of peer is told of; in between they are counted.
+const complainEvery = 10 * time.Second
+
 func (d *Daemon) malformed(c *transport.Conn, who int, err error) {
-	if d.refused[who].Add(1) == 1 {
-		d.log.Warn().Str("peer", c.Peer().String()).Err(err).Msg("a malformed message; further ones are only counted")
-	}
+	n := d.refused[who].Add(1)
+	d.complain[who].Do(func() {
+		d.log.Warn().Str("peer", c.Peer().String()).Str("from", [...]string{"player", "node", "list"}[who]).Int64("so_far", n).
+			Str("error", clip(err.Error())).Msg("a malformed message")
+	})
 	c.Close(closeData, err.Error())
 }
 
+// clip bounds what a peer can put into a line; the writer escapes it.
+func clip(text string) string {
+	const most = 200
+	if len(text) > most {
+		text = text[:most] + "..."
+	}
+	return strings.ToValidUTF8(text, "?")
+}
+
 type players struct{ d *Daemon }
 
 func (h players) Knock(c *transport.Conn) {
@@ -566,6 +604,7 @@
 		{"stray_total", "messages for what is not known (any more)", prometheus.CounterValue, float64(c.Stray)},
 		{"late_total", "second answers, and answers for who has one", prometheus.CounterValue, float64(c.Late)},
 		{"stalls_total", "times that the loop was late by more than 100 ms", prometheus.CounterValue, float64(c.Stalls)},
+		{"unfit_total", "messages that this kind of peer does not send", prometheus.CounterValue, float64(c.BadWord)},
 		{"malformed_total", "malformed messages", prometheus.CounterValue,
 			float64(d.refused[0].Load() + d.refused[1].Load() + d.refused[2].Load())},
 		{"flooded_total", "connections closed for too many messages", prometheus.CounterValue, float64(d.flooded.Load())},
@@ -581,8 +620,7 @@
 		{"room_mode", "0 normal, 1 saving, 2 full", prometheus.GaugeValue, float64(s.mode)},
 		{"player_connections_busy", "players with a session or an answer owed", prometheus.GaugeValue, float64(s.busy)},
 		{"player_connections", "connections of players", prometheus.GaugeValue, float64(s.players)},
-		{"loop_late_seconds", "greatest lateness of the loop since the last look", prometheus.GaugeValue,
-			time.Duration(d.late.Swap(0)).Seconds()},
+		{"loop_late_seconds", "greatest lateness of the loop in the last 15 to 30 s", prometheus.GaugeValue, s.late.Seconds()},
 	} {
 		ch <- prometheus.MustNewConstMetric(prometheus.NewDesc("fordusher_"+x.name, x.help, nil, nil), x.kind, x.value)
 	}
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 	"time"
+	"unicode/utf8"
 
 	"github.com/gobwas/ws"
 	"github.com/prometheus/client_golang/prometheus"
@@ -195,6 +196,34 @@
 	}
 }
 
+// Only the first malformed message ever was told of; a peer that came later was cut off and nobody knew which. What is
+// told of is bounded, in number and in length.
+func TestMalformedMessagesAreToldOfAgain(t *testing.T) {
+	lines := make(chan string, 1000)
+	p := open(t, 1)
+	p.d.log = zerolog.New(writer(func(b []byte) { lines <- string(b) }))
+	long := `{"t":"` + strings.Repeat("\u00e9\xff", 500) + `"}`
+	for range 50 {
+		c, in := dial(t, p.d.Address())
+		c.Send([]byte(long), 0)
+		if why := in.end(t).Error(); !utf8.ValidString(why) {
+			t.Fatalf("closed with %q, which is no UTF-8", why)
+		}
+	}
+	if n := len(lines); n < 2 || n > 10 {
+		t.Fatal(n, "lines for 50 malformed messages")
+	}
+	for range len(lines) {
+		if l := <-lines; len(l) > 500 || !strings.Contains(l, "127.0.0.1:") || !strings.Contains(l, "so_far") {
+			t.Fatal(l)
+		}
+	}
+}
+
+type writer func(b []byte)
+
+func (w writer) Write(b []byte) (int, error) { w(b); return len(b), nil }
+
 // A node and a list that send what nobody understands lose their connection; the director goes on with
 // the others, and comes back to them.
 func TestBadNodeAndListAreLeft(t *testing.T) {
@@ -340,3 +369,17 @@
 		t.Fatal(next, "taken,", len(b.line), "left of", cap(b.line))
 	}
 }
+
+// Each look at the metrics set the loop's lateness back, so that of two who looked one saw nothing.
+func TestLatenessIsThereForEverybodyWhoLooks(t *testing.T) {
+	var l lateness
+	for _, x := range []struct{ now, late, want time.Duration }{
+		{time.Second, 80 * ms, 80 * ms}, {2 * time.Second, 5 * ms, 80 * ms}, {14 * time.Second, 0, 80 * ms},
+		{17 * time.Second, 20 * ms, 80 * ms}, {33 * time.Second, 0, 20 * ms}, {49 * time.Second, 0, 0},
+	} {
+		l.note(x.now, x.late)
+		if got := max(l.now, l.before); got != x.want {
+			t.Fatalf("at %v: %v, wanted %v", x.now, got, x.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/herald/herald.go
@@ -0,0 +1,119 @@
+// Package herald writes log lines so that they are never the trouble themselves: whoever logs does not wait for
+// whoever reads, and a storm of lines is cut to its first ones and a pace, with what was left out counted and said.
+//
+// zerolog's own diode does not wait either, but it overwrites the oldest lines, and those of an event's beginning are
+// the ones that tell what happened; its samplers drop without a count.
+package herald
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// What is written at most: so many lines at once, and so many a second from then on. Lines that wait for a reader are
+// kept up to a number, the first ones; the later ones are left out.
+const (
+	burst   = 200
+	steady  = 10
+	waiting = 1024
+)
+
+// Herald is a writer of lines. Its methods may be called by any goroutine.
+type Herald struct {
+	out  io.Writer
+	done chan struct{}
+
+	mu     sync.Mutex
+	pace   *rate.Limiter
+	queue  [][]byte // emptied as they are written
+	wake   chan struct{}
+	left   uint64 // lines left out
+	said   uint64 // of these, the ones that a line has told of
+	closed bool
+}
+
+// New starts writing to out, which may be slow, or stand still for ever.
+func New(out io.Writer) *Herald {
+	h := &Herald{out: out, done: make(chan struct{}), pace: rate.NewLimiter(steady, burst), wake: make(chan struct{}, 1)}
+	go h.run()
+	return h
+}
+
+// Write takes a line, or leaves it out and counts it. It never waits and never fails.
+func (h *Herald) Write(line []byte) (int, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.closed || len(h.queue) >= waiting || !h.pace.AllowN(time.Now(), 1) {
+		h.left++
+		return len(line), nil
+	}
+	h.queue = append(h.queue, bytes.Clone(line))
+	h.rouse()
+	return len(line), nil
+}
+
+func (h *Herald) rouse() {
+	select {
+	case h.wake <- struct{}{}:
+	default:
+	}
+}
+
+// LeftOut is how many lines were left out so far.
+func (h *Herald) LeftOut() uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.left
+}
+
+// sayEvery is how often it is said how many lines were left out.
+const sayEvery = time.Second
+
+func (h *Herald) run() {
+	defer close(h.done)
+	tick := time.NewTicker(sayEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-h.wake:
+		case <-tick.C:
+		}
+		lines, ended := h.take()
+		for _, line := range lines {
+			h.out.Write(line) // there is nowhere to tell of an error
+		}
+		if ended {
+			return
+		}
+	}
+}
+
+// take is what is to be written now, with a line on what was left out since the last one.
+func (h *Herald) take() (lines [][]byte, ended bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	lines, h.queue = h.queue, nil
+	if h.left > h.said {
+		lines = append(lines, fmt.Appendf(nil, `{"level":"warn","time":%q,"left_out":%d,"message":"%d log lines were left out, %d since the start"}`+"\n",
+			time.Now().Format(time.RFC3339Nano), h.left-h.said, h.left-h.said, h.left))
+		h.said = h.left
+	}
+	return lines, h.closed
+}
+
+// Close writes what waits, for as long as that may take at most, and takes nothing more.
+func (h *Herald) Close(within time.Duration) {
+	h.mu.Lock()
+	h.closed = true
+	h.rouse()
+	h.mu.Unlock()
+	select {
+	case <-h.done:
+	case <-time.After(within):
+	}
+}
--- /dev/null
+++ b/internal/herald/herald_test.go
@@ -0,0 +1,72 @@
+package herald
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// A page is what a reader has of the lines; until it is let go, it does not read.
+type page struct {
+	mu   sync.Mutex
+	text strings.Builder
+	free chan struct{}
+}
+
+func (p *page) Write(b []byte) (int, error) {
+	<-p.free
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.text.Write(b)
+}
+
+func (p *page) has(t *testing.T, want string) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		p.mu.Lock()
+		text := p.text.String()
+		p.mu.Unlock()
+		if strings.Contains(text, want) {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("no %q in %.300s", want, text)
+		}
+	}
+}
+
+// A storm of lines to a reader that stands still: nobody waits, the first lines are kept, and once somebody reads it
+// is told how many are missing.
+func TestStormBehindAReaderThatStandsStill(t *testing.T) {
+	p := &page{free: make(chan struct{})}
+	h := New(p)
+	const lines = 100_000
+	began := time.Now()
+	for i := range lines {
+		fmt.Fprintf(h, "line %d.\n", i)
+	}
+	if took := time.Since(began); took > 5*time.Second {
+		t.Fatal("writers waited", took)
+	}
+	left := h.LeftOut()
+	if left < lines-burst-1000 || left > lines-burst {
+		t.Fatal(left, "left out")
+	}
+	close(p.free)
+	p.has(t, "line 0.\n")
+	p.has(t, fmt.Sprintf("line %d.\n", burst-1))
+	p.has(t, fmt.Sprintf("%d since the start", left))
+	h.Close(time.Second)
+}
+
+// What was written before the end is there after it, and an end does not wait for a reader that never reads.
+func TestCloseWritesWhatWaitsAndDoesNotWaitForEver(t *testing.T) {
+	p := &page{free: make(chan struct{})}
+	h := New(p)
+	fmt.Fprintln(h, "last")
+	h.Close(10 * time.Millisecond)
+	close(p.free)
+	p.has(t, "last")
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -20,9 +20,11 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cloudwego/netpoll"
 	"github.com/gobwas/ws"
@@ -147,7 +149,6 @@
 	why     error // set once the connection is to end
 	last    bool  // nothing more goes out but the close frame that is queued
 	heard   atomic.Int64
-	dropped atomic.Int32
 }
 
 type frame struct {
@@ -185,7 +186,6 @@
 func (c *Conn) Advise(message []byte, key uint64) {
 	c.mu.Lock()
 	if c.queued*2 > c.bounds.Queue {
-		c.dropped.Add(1)
 		c.mu.Unlock()
 		return
 	}
@@ -194,7 +194,6 @@
 			body := c.frame(ws.OpText, message)
 			c.queued += len(body) - len(f.body)
 			f.body = body
-			c.dropped.Add(1)
 			c.mu.Unlock()
 			return
 		}
@@ -203,9 +202,6 @@
 	c.put(frame{body: c.frame(ws.OpText, message), advice: key}, false)
 }
 
-// Dropped counts advice that was dropped or replaced.
-func (c *Conn) Dropped() int { return int(c.dropped.Load()) }
-
 // Ping queues a ping.
 func (c *Conn) Ping() bool { return c.send(ws.OpPing, nil, 0) }
 
@@ -361,10 +357,19 @@
 		c.np.Close()
 		return
 	}
-	if len(reason) > 120 {
-		reason = reason[:120]
+	c.send(ws.OpClose, ws.NewCloseFrameBody(code, closeReason(reason)), 0)
+}
+
+// closeReason makes a text fit into a close frame: short enough, and UTF-8, which a peer may insist on (RFC 6455, 5.5.1)
+// though its own bytes, quoted, are not.
+func closeReason(text string) string {
+	const most = 120
+	text = strings.ToValidUTF8(text, "?")
+	for len(text) > most {
+		_, last := utf8.DecodeLastRuneInString(text)
+		text = text[:len(text)-last]
 	}
-	c.send(ws.OpClose, ws.NewCloseFrameBody(code, reason), 0)
+	return text
 }
 
 // Cut ends the connection at once; what is queued is dropped.
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"testing"
 	"time"
+	"unicode/utf8"
 
 	"github.com/gobwas/ws"
 )
@@ -314,3 +315,13 @@
 	case <-time.After(50 * time.Millisecond):
 	}
 }
+
+// A reason that quotes the peer's own bytes was cut in the middle of a letter: no UTF-8, for which a peer ends the
+// connection as broken (RFC 6455, 8.1).
+func TestCloseReasonsAreShortUTF8(t *testing.T) {
+	for _, text := range []string{"", "plain", strings.Repeat("é", 100), "x" + strings.Repeat("é", 100), "\xff\xfe", strings.Repeat("\xff", 300)} {
+		if r := closeReason(text); len(r) > 120 || !utf8.ValidString(r) || len(text) <= 120 && utf8.ValidString(text) && r != text {
+			t.Errorf("%q became %q", text, r)
+		}
+	}
+}
