Players take turns in the line for the loop: who asks for much waits behind itself

Seen, by a test that fails without this change: the line was one queue for all, so a client that keeps hundreds of requests open, as the protocol allows (512 a connection), stood before everybody who came later, with all of it.

Ruled out: the handling of the greedy one's requests (each a nack of microseconds), the bound on one peer's messages (kept, and too wide to help), limits.Line (it looks at waits, not at whose).

Lines at fault: daemon.go, inbox.stand and take.

Change: each player's items keep their order, players take turns, one item each.

An idle connection's record grows by 24 bytes. An address with many connections still has as many turns; limits.per_address bounds that.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -149,6 +149,7 @@
 type peer struct {
 	number  uint64
 	pending atomic.Int32
+	said    []item // what stands in line, of a player; the inbox's
 }
 
 // inbox is how everybody else reaches the loop. What connections say is bounded peer by peer; all else
@@ -156,12 +157,14 @@
 //
 // What players ask stands in a line of its own, of which the loop takes a turn's worth after all else that
 // is there: what nodes and the list say, endings, and what the loop asked for never wait behind requests.
-// Of one player everything keeps its order: while anything of it stands in line, so does the rest.
+// Of one player everything keeps its order: while anything of it stands in line, so does the rest. Players take
+// turns, one item each, so that who asks for much waits behind itself and not others behind it.
 type inbox struct {
 	mu    sync.Mutex
 	first []item
-	line  []item
-	head  int // of the line
+	line  []*peer // those who have something in line, the next one first
+	head  int     // of the line
+	stood int     // items
 	wake  chan struct{}
 }
 
@@ -180,7 +183,11 @@
 func (b *inbox) stand(i item) {
 	i.came = time.Now()
 	b.mu.Lock()
-	b.line = append(b.line, i)
+	if len(i.peer.said) == 0 {
+		b.line = append(b.line, i.peer)
+	}
+	i.peer.said = append(i.peer.said, i)
+	b.stood++
 	b.mu.Unlock()
 	b.rouse()
 }
@@ -198,12 +205,20 @@
 	defer b.mu.Unlock()
 	taken := b.first
 	b.first = into[:0]
-	n := min(turn, len(b.line)-b.head)
-	taken = append(taken, b.line[b.head:b.head+n]...)
-	clear(b.line[b.head : b.head+n])
-	if b.head += n; b.head == len(b.line) {
-		b.line, b.head = b.line[:0], 0
-	} else if b.head > 1024 && b.head*2 > len(b.line) {
+	for range min(turn, b.stood) {
+		p := b.line[b.head]
+		b.line[b.head] = nil
+		b.head++
+		taken = append(taken, p.said[0])
+		p.said[0] = item{}
+		if p.said = p.said[1:]; len(p.said) > 0 {
+			b.line = append(b.line, p)
+		} else {
+			p.said = nil
+		}
+		b.stood--
+	}
+	if b.head > 1024 && b.head*2 > len(b.line) || b.head == len(b.line) {
 		b.line = b.line[:copy(b.line, b.line[b.head:])]
 		b.head = 0
 	}
@@ -214,7 +229,7 @@
 func (b *inbox) waits() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return len(b.line) - b.head
+	return b.stood
 }
 
 func (d *Daemon) now() time.Duration { return time.Since(d.began) + time.Duration(d.skew.Load()) }
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -348,7 +349,7 @@
 func TestInboxOrder(t *testing.T) {
 	b := inbox{wake: make(chan struct{}, 1)}
 	for i := range 5000 {
-		b.stand(item{in: director.PlayerSaid{Conn: uint64(i)}})
+		b.stand(item{in: director.PlayerSaid{Conn: uint64(i)}, peer: &peer{}})
 	}
 	var batch []item
 	next := uint64(0)
@@ -370,6 +371,34 @@
 	}
 }
 
+// Who had asked for much stood before everybody who came later, with all of it.
+func TestGreedyPlayersWaitBehindThemselves(t *testing.T) {
+	b := inbox{wake: make(chan struct{}, 1)}
+	greedy, modest := []*peer{{number: 1}, {number: 2}}, &peer{number: 3}
+	for i := range 500 {
+		for _, p := range greedy {
+			b.stand(item{in: director.PlayerClosed{Conn: uint64(i)}, peer: p})
+		}
+	}
+	b.stand(item{in: director.PlayerClosed{}, peer: modest})
+	taken := b.take(nil)
+	if at := slices.IndexFunc(taken, func(i item) bool { return i.peer == modest }); at < 0 || at > len(greedy) {
+		t.Fatal("the modest one's turn is", at, "of", len(taken))
+	}
+	next := map[*peer]uint64{}
+	for ; len(taken) > 0; taken = b.take(nil) {
+		for _, i := range taken {
+			if c := i.in.(director.PlayerClosed).Conn; c != next[i.peer] {
+				t.Fatalf("player %d: %d comes before %d", i.peer.number, c, next[i.peer])
+			}
+			next[i.peer]++
+		}
+	}
+	if next[greedy[0]] != 500 || next[greedy[1]] != 500 || len(b.line) != 0 {
+		t.Fatal(next, len(b.line))
+	}
+}
+
 // Each look at the metrics set the loop's lateness back, so that of two who looked one saw nothing.
 func TestLatenessIsThereForEverybodyWhoLooks(t *testing.T) {
 	var l lateness
