--- a/policy/policy.go
+++ b/policy/policy.go
@@ -182,6 +182,7 @@
 		if was == setting {
 			n.outs--
 		}
+		e.Load.Streams = min(e.Load.Streams, queues*d.warmth.places(n))
 		d.gauge.report(n, e.Load)
 		if e.Outcome != Served && e.Outcome != Cancelled && e.Outcome != Moot {
 			d.symptom(n, s, e.Outcome)
@@ -551,6 +552,10 @@
 	unheard  = 0.65
 	surely   = 2
 	recently = 8 // figures that make up what is usual
+	// What a figure counts for at most in what is held to be usual elsewhere: it guards all links against
+	// one node that lies, or that hangs and delivers nothing.
+	believable = 1 / dropUnder
+	queues     = 2 // times its places that a node may tell of as streams, run or set up
 )
 
 // count adds to what is asked of a node's link and of its rack's uplink.
@@ -561,14 +566,17 @@
 
 // heard takes a figure of a node's link that tells of a time.
 func (g *gauge) heard(n *node, figure float64, of time.Duration) {
-	off := g.links.take(figure-n.own/n.size, recently, g.now)
-	g.spread += (math.Abs(off) - g.spread) / recently
+	if g.now >= n.learnt+g.late { // one that tells all the time is one node still
+		n.learnt = g.now
+		off := g.links.take(min(figure, believable)-n.own/n.size, recently, g.now)
+		g.spread += (math.Abs(off) - g.spread) / recently
+	}
 	n.use.hear(figure, n.size, hearing, of)
 }
 
 func (g *gauge) heardUplink(r int, figure float64, of time.Duration) {
 	g.told = true
-	g.uplinks.take(figure-g.racks[r].own/g.fleet.Uplink, recently, g.now)
+	g.uplinks.take(min(figure, believable)-g.racks[r].own/g.fleet.Uplink, recently, g.now)
 	g.racks[r].use.hear(figure, g.fleet.Uplink, hearing, of)
 }
 
@@ -704,7 +712,7 @@
 				d.nodes = append(d.nodes, node{})
 			}
 			d.nodes[i] = node{name: x.Node, born: LongAgo, reported: -1, doubted: -1, shortAt: -rescoreEvery,
-				use: meter{of: LongAgo / 2}}
+				learnt: LongAgo / 2, use: meter{of: LongAgo / 2}}
 		}
 		n := &d.nodes[i]
 		if x.Born > n.born && known { // what was seen and heard of it before has ended
@@ -798,11 +806,7 @@
 	if now < w.ramp.TipAfter && blank && n.born != LongAgo {
 		return false // a predecessor of this director may just have spent its part
 	}
-	places := 1.0
-	if n.kind < len(w.ramp.Places) {
-		places = w.ramp.Places[n.kind]
-	}
-	fill := w.fill()
+	places, fill := w.places(n), w.fill()
 	n.sends = recent(n.sends, now-fill)
 	lately := len(recent(slices.Clone(n.sends), now-w.ramp.TipAfter-1))
 	budget := places * w.ramp.TipAfter.Seconds() / max(fill, time.Millisecond).Seconds()
@@ -819,6 +823,14 @@
 	}
 }
 
+// places is how many streams a node runs at most; where its kind is not known, the least.
+func (w *warmth) places(n *node) float64 {
+	if n.kind < len(w.ramp.Places) {
+		return w.ramp.Places[n.kind]
+	}
+	return 1
+}
+
 // fill is the time that the fall budget takes to fill a node's places.
 func (w *warmth) fill() time.Duration {
 	return max(w.ramp.TipAfter, time.Duration(float64(w.ramp.Warmup)/max(w.ramp.Multiple*w.ramp.ColdFrom, 0.01)))
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -398,3 +398,19 @@
 		t.Fatal("an hour after one error the node is never tried")
 	}
 }
+
+// One node that told impossible figures filled, in the eyes of its directors, every link and every rack there was.
+func TestImpossibleFiguresStayWhereTheyAre(t *testing.T) {
+	d, _ := still(false, 100)
+	hear(d, 1, time.Second, 0.5)
+	before, fair := d.gauge.link(&d.nodes[1]), d.nodes[1].fair
+	for i := range time.Duration(20) {
+		d.Step(time.Second+i, Note{ID: 1, Node: "a", Kind: LinkNote, Value: 1e6})
+		d.Step(time.Second+i, Note{ID: 1, Node: "a", Kind: UplinkNote, Value: 1e6})
+	}
+	d.Step(2*time.Second, Result{ID: 1, Node: "a", Outcome: Served, Final: true, Load: Load{1e6, 1e6, 1e6}})
+	d.Step(2*time.Second, Roster{Kind: Update})
+	if after := d.gauge.link(&d.nodes[1]); after > fullAt || d.nodes[1].fair < fair/4 {
+		t.Fatalf("another node's link went from %.2f to %.2f, its fair rate from %.0f to %.0f", before, after, fair, d.nodes[1].fair)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -101,7 +101,8 @@
 	outs       int     // of these, set-ups
 	own        float64 // kB a second booked by this director
 	use        meter
-	reported   float64 // streams last reported; under 0: never
+	learnt     time.Duration // when its figure last counted in what is usual
+	reported   float64       // streams last reported; under 0: never
 	legsThen   int
 	reportedAt time.Duration
 	streams    float64 // as counted for the fair rate
