A subscriber's network of IPv6 counts as one address; a successor's word proves nothing

Seen, by a test that fails without this change: limits.per_address counted each address of IPv6 by itself, of which one subscriber has 2^64, and an address of IPv4 written as IPv6 as another one.

Lines at fault: limits.go, knock.

Change: counted by the network of 64 bits. Beside it a test of what was found in order: a node replaced under its name while a paid set-up is out. Its successor's full or accepted for that leg's number proves nothing and starts nothing.

--- a/internal/director/replaced_test.go
+++ b/internal/director/replaced_test.go
@@ -55,3 +55,25 @@
 		t.Fatal("started at", born)
 	}
 }
+
+// A node that was replaced under its name while a paid set-up was out: nothing that its successor says of that leg
+// proves that it never ran, and a set-up that waits for the successor is decided anew.
+func TestSuccessorsWordProvesNothing(t *testing.T) {
+	s := newStage(t, 1)
+	s.want("1", "exam")
+	g := s.oneLeg()
+	s.do(LinkLost{Link: g.Link})
+	s.oneAnswer(wire.Errored)
+	s.pass(200 * ms)
+	s.do(LinkMade{"n0", s.links["n0"]})
+	s.do(LinkSaid{s.links["n0"], wire.Node{Type: wire.Hello, Start: 2, Age: 5}})
+	s.do(LinkSaid{s.links["n0"], wire.Node{Type: wire.Full, Leg: g.Setup}})
+	s.do(LinkSaid{s.links["n0"], wire.Node{Type: wire.Accepted, Leg: g.Setup}})
+	s.pass(5 * time.Second)
+	s.oneAnswer(wire.Errored)
+	s.oneLeg()
+	if p := s.loop.counts.Proofs(); p["full"] != 0 {
+		t.Fatal("a proof out of a successor's word", p)
+	}
+	s.empty()
+}
--- a/limits/limits.go
+++ b/limits/limits.go
@@ -214,7 +214,8 @@
 
 func (l *Limits) knock(e Event) {
 	why := ""
-	a, known := l.byAddr[e.Address]
+	from := subscriber(e.Address)
+	a, known := l.byAddr[from]
 	switch {
 	case l.draining:
 		why = "director closes"
@@ -241,8 +242,8 @@
 			a = int32(len(l.addresses))
 			l.addresses = append(l.addresses, address{})
 		}
-		l.addresses[a] = address{addr: e.Address}
-		l.byAddr[e.Address] = a
+		l.addresses[a] = address{addr: from}
+		l.byAddr[from] = a
 	}
 	l.addresses[a].conns++
 	for e.Conn >= len(l.conns) {
@@ -254,6 +255,18 @@
 	l.shaking++
 }
 
+// subscriber is what one peer is counted by: its address, or, since one has 2^64 of them, its network of IPv6.
+func subscriber(a netip.Addr) netip.Addr {
+	if a = a.Unmap(); !a.Is6() {
+		return a
+	}
+	network, err := a.Prefix(64)
+	if err != nil { // no address of IPv6 has fewer bits than that
+		return a
+	}
+	return network.Addr()
+}
+
 // retry spreads those who are turned away over the time that letting them in would take: a second at
 // least, more the more there are, drawn between one and two times that.
 func (l *Limits) retry() time.Duration {
--- a/limits/limits_test.go
+++ b/limits/limits_test.go
@@ -328,3 +328,18 @@
 		t.Fatal(let, "let go")
 	}
 }
+
+// An address of IPv6 is one of 2^64 that one subscriber has: a bound by address has to count them together.
+func TestSubscribersAreCountedByTheirNetwork(t *testing.T) {
+	for _, x := range []struct {
+		one, two string
+		admit    bool
+	}{{"2001:db8:1:2::1", "2001:db8:1:2:ffff::9", false}, {"2001:db8:1:2::1", "2001:db8:1:3::1", true}, {"192.0.2.1", "192.0.2.2", true},
+		{"::ffff:192.0.2.1", "192.0.2.1", false}} {
+		l := New(1, Room{Connections: 100, PerAddress: 1, Handshakes: 100, Ping: time.Second, Handshake: time.Second, Retry: time.Second})
+		l.Step(0, Event{What: Knock, Conn: 0, Address: netip.MustParseAddr(x.one)})
+		if p := l.Step(0, Event{What: Knock, Conn: 1, Address: netip.MustParseAddr(x.two)}); p.Admit != x.admit {
+			t.Errorf("%s after %s: %+v", x.two, x.one, p)
+		}
+	}
+}
