--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -8,7 +8,7 @@
 
 	"pgregory.net/rapid"
 
-	_ "fordusher/internal/seeded"
+	"fordusher/internal/seeded"
 )
 
 // The first case is the paper's worked example.
@@ -414,3 +414,20 @@
 		t.Fatalf("another node's link went from %.2f to %.2f, its fair rate from %.0f to %.0f", before, after, fair, d.nodes[1].fair)
 	}
 }
+
+// Open: a rack's uplink is told by its nodes, and a director often hears one of them alone. One that tells of a full
+// uplink falsely keeps set-ups off the whole rack for as long as it says so; more voices are needed to know better.
+func TestOneNodeCanCloseItsRack(t *testing.T) {
+	seeded.StillFails(t, func(fail func(string, ...any)) {
+		d, _ := still(false, 3)
+		hear(d, 1, time.Second, 0.5)
+		for i := range time.Duration(20) {
+			d.Step(time.Second+i, Note{ID: 1, Node: "a", Kind: UplinkNote, Value: 1.5})
+		}
+		for base := 1; base < 3; base++ { // the others of its rack
+			if _, ok := find[Dispatch](d.Step(2*time.Second, Demand{ID: uint64(10 + base), Base: base, Copies: 1, HardStop: time.Hour})); !ok {
+				fail("node %d takes nothing by the word of node 0", base)
+			}
+		}
+	})
+}
