Five heaps of things that are due are one

Overlap: reach kept a heap of turns whose stale entries left when their time came, the emulator one of events, the stand-in nodes one of their own, the director and limits one each by now shared. All are internal/alarm now, and a turn that no longer counts is called off.

--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -7,7 +7,6 @@
 package emulator
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -16,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"fordusher/internal/alarm"
 	"fordusher/internal/conf"
 	"fordusher/internal/day"
 	"fordusher/internal/director"
@@ -43,41 +43,24 @@
 // settle is how long directors run before the day begins.
 const settle = 300 * time.Millisecond
 
-// An event is something that happens at a time; those of one time happen in the order in which they were put.
-type event struct {
-	at  time.Duration
-	seq uint64
-	do  func(at time.Duration)
-}
-
+// events are what happens, each at its time; those of one time happen in the order in which they were put.
 type events struct {
-	all []event
-	seq uint64
+	alarm.Alarms[func(at time.Duration)]
 }
 
-func (q *events) Len() int { return len(q.all) }
-func (q *events) Less(i, j int) bool {
-	return q.all[i].at < q.all[j].at || q.all[i].at == q.all[j].at && q.all[i].seq < q.all[j].seq
-}
-func (q *events) Swap(i, j int) { q.all[i], q.all[j] = q.all[j], q.all[i] }
-func (q *events) Push(x any)    { q.all = append(q.all, x.(event)) }
-func (q *events) Pop() any {
-	last := q.all[len(q.all)-1]
-	q.all[len(q.all)-1] = event{}
-	q.all = q.all[:len(q.all)-1]
-	return last
-}
-
-func (q *events) put(at time.Duration, do func(at time.Duration)) {
-	q.seq++
-	heap.Push(q, event{at, q.seq, do})
-}
+func (q *events) put(at time.Duration, do func(at time.Duration)) { q.Add(at, do) }
 
 func (q *events) next() time.Duration {
-	if len(q.all) == 0 {
-		return math.MaxInt64
+	if at, ok := q.First(); ok {
+		return at
 	}
-	return q.all[0].at
+	return math.MaxInt64
+}
+
+// happen lets the next event happen.
+func (q *events) happen() {
+	at := q.next()
+	q.Pop()(at)
 }
 
 // A post is one director and what it hears; nobody but itself touches it within a window.
@@ -128,8 +111,7 @@
 	p.stale = true
 	for at := p.next(); at < stop; at = p.next() {
 		if p.in.next() <= at { // what happened comes before what is due
-			e := heap.Pop(&p.in).(event)
-			e.do(e.at)
+			p.in.happen()
 		} else {
 			p.step(at, director.Tick{})
 		}
@@ -238,7 +220,7 @@
 	}
 	p.loop = house.Loop(fmt.Sprint(p.boot), seed, module)
 	p.began, p.up, p.stale = at, true, true
-	p.in.all = nil
+	p.in = events{}
 	p.lasts, p.heard, p.nodes = map[uint64]time.Duration{}, map[uint64]time.Duration{}, map[uint64]int{}
 	p.hear(at+p.w.delay(p.chance), director.ListOpened{})
 	return nil
@@ -321,8 +303,7 @@
 		if at >= stop {
 			return
 		}
-		e := heap.Pop(&w.events).(event)
-		e.do(e.at)
+		w.events.happen()
 	}
 }
 
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -182,7 +182,7 @@
 	}
 	w.add(at, witness.Record{What: witness.Killed, Director: p.name})
 	p.up, p.stale = false, true
-	p.in.all = nil
+	p.in = events{}
 	w.ended(at, p)
 }
 
--- a/internal/standin/node/farm.go
+++ b/internal/standin/node/farm.go
@@ -4,12 +4,12 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"fordusher/internal/alarm"
 	"fordusher/internal/wire"
 )
 
@@ -133,7 +133,6 @@
 
 type due struct {
 	at   time.Duration
-	seq  uint64
 	kind dueKind
 	node *machine
 	key  [2]uint64
@@ -147,8 +146,7 @@
 	nodes  map[string]*machine
 	order  []*machine
 	racks  []rack
-	queue  byTime
-	seq    uint64
+	queue  alarm.Alarms[due]
 	now    time.Duration
 	out    []Out
 	starts uint64
@@ -191,32 +189,10 @@
 
 // Next is when Step wants to be called at the latest; ok is false where nothing is due.
 func (f *Farm) Next() (at time.Duration, ok bool) {
-	if len(f.queue) == 0 {
-		return 0, false
-	}
-	return f.queue[0].at, true
-}
-
-func (f *Farm) push(d due) {
-	f.seq++
-	d.seq = f.seq
-	heap.Push(&f.queue, d)
+	return f.queue.First()
 }
 
-type byTime []due
-
-func (q byTime) Len() int { return len(q) }
-func (q byTime) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
-}
-func (q byTime) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *byTime) Push(x any)   { *q = append(*q, x.(due)) }
-func (q *byTime) Pop() any {
-	last := (*q)[len(*q)-1]
-	(*q)[len(*q)-1] = due{}
-	*q = (*q)[:len(*q)-1]
-	return last
-}
+func (f *Farm) push(d due) { f.queue.Add(d.at, d) }
 
 // Step works off what is due until now. The result is valid until the next call of any method.
 func (f *Farm) Step(now time.Duration) []Out {
@@ -226,8 +202,8 @@
 }
 
 func (f *Farm) advance(now time.Duration) {
-	for len(f.queue) > 0 && f.queue[0].at <= now {
-		d := heap.Pop(&f.queue).(due)
+	for at, ok := f.queue.First(); ok && at <= now; at, ok = f.queue.First() {
+		d := f.queue.Pop()
 		f.now = max(f.now, d.at)
 		f.happen(d)
 	}
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -4,9 +4,10 @@
 package reach
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"time"
+
+	"fordusher/internal/alarm"
 )
 
 // Pace is how connections to nodes are tried.
@@ -60,17 +61,17 @@
 type node struct {
 	state state
 	fails int
-	due   time.Duration
-	drop  bool // unlisted while a try was under way
+	turn  alarm.Handle // while it is idle
+	drop  bool         // unlisted while a try was under way
 }
 
 // Reach is the state of one director's tries.
 type Reach struct {
 	pace   Pace
 	chance *rand.Rand
-	nodes  map[int]*node // emptied as nodes are unlisted
-	turns  turns         // of idle nodes, by time; what no longer counts leaves when its time has come
-	outs   int           // tries under way
+	nodes  map[int]*node     // emptied as nodes are unlisted
+	turns  alarm.Alarms[int] // of idle nodes
+	outs   int               // tries under way
 	plan   Plan
 }
 
@@ -102,6 +103,7 @@
 	case e.What == Unlisted && n.state == trying:
 		n.drop = true
 	case e.What == Unlisted:
+		r.turns.Cancel(n.turn)
 		delete(r.nodes, e.Node)
 	case e.What == Made && n.state == trying:
 		r.outs--
@@ -112,9 +114,10 @@
 	case e.What == Failed && n.state == trying:
 		r.outs--
 		n.state = idle
-		r.pause(now, e.Node, n)
 		if n.drop {
 			delete(r.nodes, e.Node)
+		} else {
+			r.pause(now, e.Node, n)
 		}
 	case e.What == Lost && n.state == made:
 		n.state = idle
@@ -135,50 +138,25 @@
 	r.wait(i, n, now+span/2+time.Duration(r.chance.Int64N(int64(span/2)+1)))
 }
 
-// A turn is when an idle node is to be tried; it counts only while the node waits for just that time.
-type turn struct {
-	due  time.Duration
-	node int
-}
-
-type turns []turn
-
-func (q turns) Len() int { return len(q) }
-func (q turns) Less(i, j int) bool {
-	return q[i].due < q[j].due || q[i].due == q[j].due && q[i].node < q[j].node
-}
-func (q turns) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *turns) Push(x any)   { *q = append(*q, x.(turn)) }
-func (q *turns) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 // wait puts an idle node's next try at a time.
 func (r *Reach) wait(i int, n *node, due time.Duration) {
-	n.due = due
-	heap.Push(&r.turns, turn{due, i})
+	r.turns.Cancel(n.turn)
+	n.turn = r.turns.Add(due, i)
 }
 
 // fill starts the tries that are due, the longest due first, as far as there is room.
 func (r *Reach) fill(now time.Duration) {
-	for len(r.turns) > 0 {
-		next := r.turns[0]
-		n := r.nodes[next.node]
-		switch {
-		case n == nil || n.state != idle || n.due != next.due: // it waits no more, or for another time
-			heap.Pop(&r.turns)
-			continue
-		case next.due > now:
-			r.plan.Ring = next.due
+	for due, ok := r.turns.First(); ok; due, ok = r.turns.First() {
+		if due > now {
+			r.plan.Ring = due
 			return
-		case r.outs >= r.pace.AtOnce:
+		}
+		if r.outs >= r.pace.AtOnce {
 			return // a try that ends calls again
 		}
-		heap.Pop(&r.turns)
-		n.state = trying
+		i := r.turns.Pop()
+		r.nodes[i].state = trying
 		r.outs++
-		r.plan.Dial = append(r.plan.Dial, next.node)
+		r.plan.Dial = append(r.plan.Dial, i)
 	}
 }
