A birth that is told again a little later is the same birth

Seen, by a test that fails without this change: lists and nodes tell ages in milliseconds, so where a list drops a node and names it again the same birth reads up to a millisecond later, and the module took the node for its successor: its pause after a fault was forgotten, its figures too.

Ruled out: the pace of cold set-ups, which a new birth does not reset.

Lines at fault: policy.go, roster.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -695,6 +695,9 @@
 
 // Nodes and the list.
 
+// sameBirth is how much later a birth may be told again and be the same one.
+const sameBirth = 100 * time.Millisecond
+
 func (d *Director) roster(e Roster) {
 	for i := range d.nodes {
 		if e.Kind == Replace || e.Kind == Restored { // the whole list: who is not named is gone
@@ -715,7 +718,7 @@
 				learnt: LongAgo / 2, use: meter{of: LongAgo / 2}}
 		}
 		n := &d.nodes[i]
-		if x.Born > n.born && known { // what was seen and heard of it before has ended
+		if x.Born > n.born+sameBirth && known { // what was seen and heard of it before has ended
 			n.health, n.doubted, n.warmAt = health{}, -1, 0
 			n.use, n.reported, n.shortAt = meter{of: LongAgo / 2}, -1, -rescoreEvery
 		}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -431,3 +431,21 @@
 		}
 	})
 }
+
+// A list tells ages in milliseconds, so the same birth reads a little later each time: a node that had just failed was
+// taken for its successor and trusted again.
+func TestSameBirthReadTwiceIsNoSuccessor(t *testing.T) {
+	d, list := still(false, 1)
+	d.warmth.handed = true
+	list[0].Born = 0
+	d.Step(0, Roster{Kind: Update, Entries: list[:1]})
+	d.Step(time.Second, Demand{ID: 1, Copies: 1, HardStop: time.Hour})
+	d.Step(time.Second, Result{ID: 1, Node: "a", Outcome: Errored, Final: true, Load: NoLoad})
+	for _, later := range []time.Duration{time.Millisecond, 200 * time.Millisecond} {
+		list[0].Born = later
+		d.Step(2*time.Second, Roster{Kind: Update, Entries: list[:1]})
+		if aside, same := d.nodes[0].health.trickle > 0, later < sameBirth; aside != same {
+			t.Fatalf("born %v later: set aside %v", later, aside)
+		}
+	}
+}
