A handler that panics is counted, and ends its connection without netpoll's own log

Seen, by a test that fails without this change: a panic in what a connection's handler does was counted nowhere, and netpoll's pool wrote the stack to standard error itself, from a worker that may have to wait for a reader.

Ruled out: a connection that stands (netpoll ended it before too), other connections.

Lines at fault: transport.go, read.

--- a/internal/transport/complaints.go
+++ b/internal/transport/complaints.go
@@ -6,7 +6,8 @@
 	"github.com/cloudwego/netpoll"
 )
 
-// complaints counts the lines that netpoll would write to standard error: failed accepts, above all.
+// complaints counts the lines that netpoll would write to standard error (failed accepts, above all) and the handlers
+// that have panicked.
 var complaints atomic.Int64
 
 // Complaints is how often netpoll has complained so far.
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -431,6 +431,7 @@
 
 // read takes all that has come: netpoll calls it again and again while anything is left.
 func (c *Conn) read(_ context.Context, np netpoll.Connection) error {
+	defer c.recover()
 	r := np.Reader()
 	n := r.Len()
 	if n == 0 {
@@ -447,6 +448,15 @@
 	return r.Release()
 }
 
+// recover ends a connection whose handler has panicked, which is a fault of the program, and counts it: netpoll's pool
+// would write about it to standard error itself.
+func (c *Conn) recover() {
+	if r := recover(); r != nil {
+		complaints.Add(1)
+		c.fail(fmt.Errorf("%w: panic: %v", ErrClosed, r))
+	}
+}
+
 // feed takes bytes from the peer; they are the caller's again afterwards.
 func (c *Conn) feed(in []byte) {
 	c.heard.Store(time.Now().UnixNano())
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -325,3 +325,43 @@
 		}
 	}
 }
+
+type clumsy struct{ *echo }
+
+func (h clumsy) Message(c *Conn, m []byte) {
+	if string(m) == "trip" {
+		panic("over it")
+	}
+	h.echo.Message(c, m)
+}
+
+// A handler that panicked on a message was counted nowhere, and netpoll's pool wrote about it to standard error itself,
+// which may wait for a reader.
+func TestPanicEndsItsConnectionAlone(t *testing.T) {
+	s := start(t, clumsy{newEcho()})
+	bad, good := newEcho(), newEcho()
+	b, err := Dial(s.Address(), "test.v1", time.Second, bounds, bad, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g, err := Dial(s.Address(), "test.v1", time.Second, bounds, good, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	before := Complaints()
+	b.Send([]byte("trip"), 0)
+	select {
+	case <-bad.closed:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the connection stands")
+	}
+	if Complaints() == before {
+		t.Fatal("nobody is told")
+	}
+	g.Send([]byte("well"), 0)
+	for end := time.Now().Add(5 * time.Second); len(good.seen()) == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the other one is not answered")
+		}
+	}
+}
