--- a/cmd/fordusher/serve.go
+++ b/cmd/fordusher/serve.go
@@ -44,6 +44,9 @@
 	if err != nil {
 		return err
 	}
+	// Before anybody is told that it is ready: an order to stop that came sooner ended it without an answer.
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
 	if c.Seed == 0 {
 		var b [8]byte
 		rand.Read(b[:])
@@ -105,8 +108,6 @@
 		}
 		defer pprof.StopCPUProfile()
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
 	select {
 	case <-ctx.Done():
 		d.Stop()
