--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -26,14 +26,14 @@
 
 // A place is one director with stand-ins around it.
 type place struct {
-	t      *testing.T
+	t      testing.TB
 	d      *Daemon
 	host   *node.Host
 	list   *list.Source
 	record *witness.Recorder
 }
 
-func open(t *testing.T, nodes int, change ...string) *place {
+func open(t testing.TB, nodes int, change ...string) *place {
 	t.Helper()
 	p := &place{t: t, record: &witness.Recorder{}}
 	var machines []node.Machine
@@ -60,7 +60,7 @@
 	return p
 }
 
-func start(t *testing.T, listAddress string, change ...string) *Daemon {
+func start(t testing.TB, listAddress string, change ...string) *Daemon {
 	t.Helper()
 	text := `{"director": {"name": "d", "me": 0, "directors": 1}, "listen": "127.0.0.1:0", "list": {"address": "` + listAddress + `"},
 		"tariffs": {"clip": {"goal_time": "1s", "hard_stop": "2s"}, "exam": {"goal_time": "1s", "hard_stop": "2s", "paid": true}},
@@ -90,7 +90,7 @@
 	time.Sleep(120 * ms) // past the caution of a director that has just started
 }
 
-func within(t *testing.T, what string, ok func() bool) {
+func within(t testing.TB, what string, ok func() bool) {
 	t.Helper()
 	for end := time.Now().Add(10 * time.Second); !ok(); time.Sleep(ms) {
 		if time.Now().After(end) {
@@ -109,7 +109,7 @@
 func (p *client) Message(_ *transport.Conn, m []byte)             { p.in <- string(m) }
 func (p *client) Closed(_ *transport.Conn, why error, _ []uint64) { p.closed <- why }
 
-func dial(t *testing.T, address string) (*transport.Conn, *client) {
+func dial(t testing.TB, address string) (*transport.Conn, *client) {
 	t.Helper()
 	p := &client{make(chan string, 1000), make(chan error, 1)}
 	c, err := transport.Dial(address, wire.SessionProtocol, 2*time.Second,
@@ -124,7 +124,7 @@
 	return wire.Encode(wire.Session{Type: wire.Want, ID: id, Tariff: tariff, Title: "t", Key: "k" + id, Wait: 2000, Length: 60_000})
 }
 
-func (p *client) answer(t *testing.T) wire.Session {
+func (p *client) answer(t testing.TB) wire.Session {
 	t.Helper()
 	select {
 	case raw := <-p.in:
--- /dev/null
+++ b/internal/director/bench_test.go
@@ -0,0 +1,38 @@
+package director
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"fordusher/internal/wire"
+)
+
+// What a connection with a session that plays takes of the loop's and the module's memory.
+func BenchmarkSessionMemory(b *testing.B) {
+	heap := func() uint64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	s := newStage(b, 8)
+	before, sessions := heap(), 0
+	for b.Loop() {
+		if sessions++; sessions > 900 { // the stage's room is 1,000
+			continue
+		}
+		conn := uint64(1 + sessions)
+		s.enter(conn)
+		s.do(PlayerSaid{Conn: conn, Message: wire.Session{Type: wire.Want, ID: "1", Tariff: "clip", Title: "t", Key: fmt.Sprint("key-", conn), Wait: 5000, Length: 60_000}})
+		for _, g := range s.setups() {
+			s.do(said(g, wire.Accepted))
+		}
+		s.forget()
+	}
+	if n := len(s.loop.sessions); n > 0 {
+		b.ReportMetric(float64(heap()-before)/float64(n), "B/session")
+		b.ReportMetric(float64(n), "sessions")
+	}
+	runtime.KeepAlive(s)
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -749,8 +749,9 @@
 	untried   = 8
 )
 
-// may tells whether a leg may go to a node. One that was set aside gets a trickle of free ones first, and of paid ones
-// only once no free one has come for long: it guards a fleet of paid tariffs against losing node after node for good.
+// may tells whether a leg may go to a node. One that was set aside gets a trickle of free ones first, and of
+// paid ones only once no free one has come for long: it guards a fleet of paid tariffs against losing node
+// after node for good.
 func (h *health) may(outs int, paid bool, now time.Duration) bool {
 	if h.trickle == 0 {
 		return true
