--- a/closing/closing.go
+++ b/closing/closing.go
@@ -9,6 +9,7 @@
 type Term struct {
 	Within time.Duration // sessions and answers alike are done by then
 	Slice  time.Duration // time between slices
+	Least  time.Duration // who still comes is answered for so long
 }
 
 // Left is what a director still has: answers owed and sessions that play.
@@ -40,6 +41,9 @@
 // would not end in time, the rest is spread evenly over the slices there are.
 func (c *Closing) Step(now time.Duration, left Left) Plan {
 	if left.Owed == 0 && left.Playing == 0 {
+		if least := c.began + c.term.Least; now < least {
+			return Plan{Again: least}
+		}
 		return Plan{Done: true}
 	}
 	end := c.began + c.term.Within
--- a/cmd/fordusher/main.go
+++ b/cmd/fordusher/main.go
@@ -26,6 +26,7 @@
 type commands struct {
 	Day        dayCommand        `cmd:"" help:"Run a scripted bad day on loopback and check the six rules from what crossed the sockets."`
 	Serve      serveCommand      `cmd:"" help:"Run one director."`
+	Platform   platformCommand   `cmd:"" help:"Run one director on the operators' platform, as its environment says."`
 	Check      checkCommand      `cmd:"" help:"Check a director's file."`
 	Node       nodeCommand       `cmd:"" help:"Run stand-in nodes."`
 	Roster     rosterCommand     `cmd:"" help:"Run a stand-in for the list's source."`
--- /dev/null
+++ b/cmd/fordusher/platform.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"syscall"
+	"time"
+
+	"fordusher/internal/daemon"
+	"fordusher/internal/herald"
+	"fordusher/internal/platform"
+)
+
+type platformCommand struct{}
+
+// The part of the memory limit that the collector keeps to: the rest is for what is not its own.
+const heapPart = 0.6
+
+// Run is one director on the operators' platform, which tells it all in its environment.
+func (c *platformCommand) Run() error {
+	// Before anything that takes time: an order that came sooner would end the program.
+	orders := make(chan os.Signal, 4)
+	signal.Notify(orders, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	posting, err := platform.ReadPosting(os.Getenv)
+	if err != nil {
+		return badInput{err}
+	}
+	seed, err := posting.Chance()
+	if err != nil {
+		return badInput{err}
+	}
+	if cores := posting.Limits.Cores; cores > 0 {
+		// One beyond the share: what waits in a system call must not keep the loop from running.
+		runtime.GOMAXPROCS(min(runtime.NumCPU(), int(math.Ceil(cores))+1))
+	}
+	if mb := posting.Limits.MemoryMB; mb > 0 {
+		debug.SetMemoryLimit(int64(float64(mb<<20) * heapPart))
+	}
+	lines := herald.New(os.Stderr)
+	defer lines.Close(time.Second)
+	log := logger(lines)
+	house := posting.House(time.Now())
+	front := platform.NewFront(posting, house, time.Now)
+	d, err := daemon.StartAt(front, house, strconv.FormatInt(time.Now().UnixMilli(), 36), seed, posting.Module(seed), log)
+	if err != nil {
+		return err
+	}
+	for {
+		select {
+		case order := <-orders:
+			if order != syscall.SIGHUP {
+				d.Stop()
+				<-d.Done()
+				return nil
+			}
+			next, err := platform.ReadPosting(os.Getenv)
+			if err != nil {
+				log.Warn().Err(err).Msg("told to read the file again, which can't be used: the old one stays")
+				continue
+			}
+			log.Info().Str("board", next.Board).Msg("the file was read again")
+			d.MoveList(next.Board)
+		case <-d.Done():
+			return nil
+		}
+	}
+}
--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -20,27 +20,28 @@
 
 // House is what a director is told at its start.
 type House struct {
-	Name     string
-	Peers    policy.Peers
-	Listen   string       // address for players
-	Metrics  string       // address for metrics; empty: none
-	List     string       // address of the list's source; empty: there is none, Nodes and Titles are all there is
-	Nodes    []wire.Entry // in force until the list's source is heard
-	Titles   []wire.Title
-	Tariffs  []director.Tariff
-	Ladder   policy.Ladder
-	Fleet    policy.Fleet
-	Machines []string // kinds, in the order of Ramp.Places
-	Ramp     policy.Ramp
-	Grace    time.Duration // drain grace
-	Legs     policy.Legs
-	Tidings  policy.Tidings
-	Manners  director.Manners
-	Pace     reach.Pace
-	Term     closing.Term
-	Room     limits.Room
-	Queue    limits.Queue
-	Door     Door
+	Name      string
+	Peers     policy.Peers
+	Listen    string        // address for players
+	Metrics   string        // address for metrics; empty: none
+	List      string        // address of the list's source; empty: there is none, Nodes and Titles are all there is
+	ListQuiet time.Duration // silent for longer, it is connected to again; 0: it may be silent
+	Nodes     []wire.Entry  // in force until the list's source is heard
+	Titles    []wire.Title
+	Tariffs   []director.Tariff
+	Ladder    policy.Ladder
+	Fleet     policy.Fleet
+	Machines  []string // kinds, in the order of Ramp.Places
+	Ramp      policy.Ramp
+	Grace     time.Duration // drain grace
+	Legs      policy.Legs
+	Tidings   policy.Tidings
+	Manners   director.Manners
+	Pace      reach.Pace
+	Term      closing.Term
+	Room      limits.Room
+	Queue     limits.Queue
+	Door      Door
 }
 
 // Door is what one peer may cost.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,6 +4,7 @@
 package daemon
 
 import (
+	"errors"
 	"fmt"
 	"net/netip"
 	"runtime"
@@ -11,6 +12,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/gobwas/ws"
@@ -29,6 +31,7 @@
 // Daemon is a running director.
 type Daemon struct {
 	house  *conf.House
+	front  Front
 	loop   *director.Loop
 	log    zerolog.Logger
 	began  time.Time
@@ -45,6 +48,9 @@
 	links   map[uint64]*transport.Conn // emptied as connections end
 	list    *transport.Conn
 
+	listAt atomic.Pointer[string] // where the list's source is
+	moved  chan struct{}          // it is elsewhere now
+
 	lastConn atomic.Uint64
 	seen     atomic.Pointer[snapshot]
 	refused  [3]atomic.Int64 // malformed messages of players, nodes, the list
@@ -81,8 +87,13 @@
 
 // Start runs a director around a module. Boot is a word that no other run of this director has used.
 func Start(house *conf.House, boot string, seed uint64, module director.Decider, log zerolog.Logger) (*Daemon, error) {
+	return StartAt(sockets{house}, house, boot, seed, module, log)
+}
+
+// StartAt is Start for a front other than the project's own protocols.
+func StartAt(front Front, house *conf.House, boot string, seed uint64, module director.Decider, log zerolog.Logger) (*Daemon, error) {
 	d := &Daemon{
-		house: house, loop: house.Loop(boot, seed, module), log: log, began: time.Now(), seed: seed,
+		house: house, front: front, moved: make(chan struct{}, 1), loop: house.Loop(boot, seed, module), log: log, began: time.Now(), seed: seed,
 		inbox: inbox{wake: make(chan struct{}, 1)},
 		quit:  make(chan struct{}), done: make(chan struct{}),
 		players: map[uint64]*transport.Conn{}, links: map[uint64]*transport.Conn{},
@@ -92,7 +103,8 @@
 	}
 	d.seen.Store(&snapshot{})
 	var err error
-	d.server, err = transport.Serve(house.Listen, wire.SessionProtocol, house.Door.Players, players{d})
+	d.listAt.Store(&house.List)
+	d.server, err = front.Listen(players{d})
 	if err != nil {
 		return nil, err
 	}
@@ -128,6 +140,15 @@
 // measurements.
 func (d *Daemon) Jump(by time.Duration) { d.skew.Add(int64(by)) }
 
+// MoveList says that the list's source is at another address from now on.
+func (d *Daemon) MoveList(address string) {
+	d.listAt.Store(&address)
+	select {
+	case d.moved <- struct{}{}:
+	default:
+	}
+}
+
 // Done is closed once the director has ended.
 func (d *Daemon) Done() <-chan struct{} { return d.done }
 
@@ -356,11 +377,12 @@
 	for _, o := range outs {
 		switch o := o.(type) {
 		case director.TellPlayer:
-			if c := d.players[o.Conn]; c == nil {
+			c, raw := d.players[o.Conn], d.front.ToPlayer(o)
+			if c == nil || raw == nil {
 			} else if o.Message.Type == wire.Rung { // advice: the next one makes it worthless
-				c.Advise(wire.Encode(o.Message), o.Merge)
+				c.Advise(raw, o.Merge)
 			} else {
-				c.Send(wire.Encode(o.Message), 0)
+				c.Send(raw, 0)
 			}
 		case director.Welcome:
 			if c := d.players[o.Conn]; c != nil {
@@ -379,7 +401,7 @@
 			}
 		case director.TellNode:
 			c := d.links[o.Link]
-			if (c == nil || !c.Send(wire.Encode(o.Message), o.Setup)) && o.Setup != 0 {
+			if (c == nil || !c.Send(d.front.ToNode(o), o.Setup)) && o.Setup != 0 {
 				d.inbox.put(item{in: director.Withdrawn{Leg: o.Setup}}) // never queued, so never sent
 			}
 		case director.Withdraw:
@@ -404,7 +426,9 @@
 			go d.connect(o)
 		case director.TellList:
 			if d.list != nil {
-				d.list.Send(wire.Encode(o.Message), 0)
+				if raw := d.front.ToList(o.Message); raw != nil {
+					d.list.Send(raw, 0)
+				}
 			}
 		case director.Log:
 			d.log.Info().Msg(o.Words)
@@ -417,8 +441,8 @@
 
 func (d *Daemon) connect(o director.Connect) {
 	h := &link{d: d, node: o.Node, peer: peer{number: o.Link}}
-	if _, err := transport.Dial(o.Address, wire.NodeProtocol, o.Within, d.house.Door.Nodes, h, nil); err != nil {
-		d.inbox.put(item{in: director.LinkFailed{Node: o.Node, Link: o.Link}})
+	if _, err := d.front.DialNode(o.Address, o.Within, h); err != nil {
+		d.inbox.put(item{in: director.LinkFailed{Node: o.Node, Link: o.Link, Refused: errors.Is(err, syscall.ECONNREFUSED)}})
 	}
 }
 
@@ -436,24 +460,38 @@
 			select {
 			case <-d.quit:
 				return
+			case <-d.moved: // it was tried where it is no more
+				plan = r.Step(d.now(), reach.Event{What: reach.Listed})
+				continue
 			case <-time.After(max(0, plan.Ring-d.now())):
 			}
 			plan = r.Step(d.now(), reach.Event{What: reach.Ring})
 			continue
 		}
 		h := &source{d: d, gone: make(chan struct{})}
-		if _, err := transport.Dial(d.house.List, wire.ListProtocol, time.Second, d.house.Door.List, h, nil); err != nil {
+		conn, err := d.front.DialList(*d.listAt.Load(), time.Second, h)
+		if err != nil {
 			d.log.Warn().Err(err).Msg("the list can't be reached; the last one stays in force")
 			plan = r.Step(d.now(), reach.Event{What: reach.Failed})
 			continue
 		}
 		r.Step(d.now(), reach.Event{What: reach.Made})
-		select {
-		case <-d.quit:
-			return
-		case <-h.gone:
-			plan = r.Step(d.now(), reach.Event{What: reach.Lost})
+		for ended := false; !ended; {
+			select {
+			case <-d.quit:
+				return
+			case <-h.gone:
+				ended = true
+			case <-d.moved:
+				conn.Cut()
+			case <-time.After(snapEvery):
+				if quiet := d.house.ListQuiet; quiet > 0 && time.Since(conn.Heard()) > quiet {
+					d.log.Warn().Dur("quiet", quiet).Msg("the list's source says nothing any more: it is connected to again")
+					conn.Cut()
+				}
+			}
 		}
+		plan = r.Step(d.now(), reach.Event{What: reach.Lost})
 	}
 }
 
@@ -523,13 +561,17 @@
 
 func (h players) Message(c *transport.Conn, raw []byte) {
 	p := c.Cookie().(*peer)
-	m, err := wire.DecodeSession(raw)
+	in, reply, err := h.d.front.FromPlayer(raw)
 	if err != nil {
 		h.d.malformed(c, 0, err)
 		return
 	}
-	if h.d.bound(c, p) {
-		h.d.inbox.stand(item{in: director.PlayerSaid{Conn: p.number, Message: m}, peer: p})
+	if reply != nil {
+		c.Send(reply, 0)
+	}
+	if in.Message.Type != "" && h.d.bound(c, p) {
+		in.Conn = p.number
+		h.d.inbox.stand(item{in: in, peer: p})
 	}
 }
 
@@ -556,12 +598,18 @@
 }
 
 func (h *link) Message(c *transport.Conn, raw []byte) {
-	m, err := wire.DecodeNode(raw)
+	in, reply, err := h.d.front.FromNode(raw)
 	if err != nil {
 		h.d.malformed(c, 1, fmt.Errorf("node %s: %w", h.node, err))
 		return
 	}
-	h.d.hand(c, &h.peer, director.LinkSaid{Link: h.peer.number, Message: m})
+	if reply != nil {
+		c.Send(reply, 0)
+	}
+	if in.Message.Type != "" {
+		in.Link = h.peer.number
+		h.d.hand(c, &h.peer, in)
+	}
 }
 
 func (h *link) Closed(_ *transport.Conn, _ error, unsent []uint64) {
@@ -579,12 +627,14 @@
 }
 
 func (h *source) Message(c *transport.Conn, raw []byte) {
-	m, err := wire.DecodeList(raw)
+	m, err := h.d.front.FromList(raw)
 	if err != nil {
 		h.d.malformed(c, 2, err)
 		return
 	}
-	h.d.hand(c, &h.peer, director.ListSaid{Message: m})
+	if m.Type != "" {
+		h.d.hand(c, &h.peer, director.ListSaid{Message: m})
+	}
 }
 
 func (h *source) Closed(*transport.Conn, error, []uint64) {
--- a/internal/director/account.go
+++ b/internal/director/account.go
@@ -14,7 +14,7 @@
 type conn struct {
 	number   uint64
 	requests map[string]*request // at most PerConnection live ones and remembered ended ones; nil before the first
-	ended    []string            // ids of requests that ended, oldest first
+	ended    []string            // ids of requests that ended, oldest first; where requests have ids of their own
 	live     int32
 	seat     int32 // its small index, for the limits
 	leaving  bool  // it was told to go: what it asks from now on is not taken
@@ -62,6 +62,9 @@
 	legs     int
 	answer   alarm.Handle
 	linger   alarm.Handle
+
+	description []byte // for the node; until the session has its answer
+	via         uint64 // loose: the connection that it came on
 }
 
 type legPhase int
@@ -87,6 +90,9 @@
 	phase   legPhase
 	stop    time.Duration // it is cut off then
 	late    alarm.Handle
+	link    uint64 // loose: that its set-up was sent on
+	began   time.Duration
+	unrung  bool // loose: its node is still to be told the rung
 }
 
 // move changes a session's phase; one that the table does not have is counted.
@@ -190,6 +196,10 @@
 	}
 	l.limit(limits.Event{What: limits.Heard, Conn: int(c.seat)})
 	m := e.Message
+	if l.manners.Loose {
+		l.looseSaid(c, e)
+		return
+	}
 	r := c.requests[m.ID]
 	switch m.Type {
 	case wire.Want:
@@ -200,7 +210,7 @@
 			}
 			return
 		}
-		l.want(c, m, e.Waited)
+		l.want(c, m, e.Waited, nil)
 	case wire.Leave:
 		if r != nil && r.session != nil {
 			l.gone(r.session)
@@ -216,7 +226,7 @@
 }
 
 // want takes a request that has waited for the loop for so long.
-func (l *Loop) want(c *conn, m wire.Session, waited time.Duration) {
+func (l *Loop) want(c *conn, m wire.Session, waited time.Duration, brought *Brought) {
 	l.counts.Taken++
 	r := &request{}
 	if c.requests == nil {
@@ -233,9 +243,15 @@
 	}
 	tariff, known := l.tariff[m.Tariff]
 	t, listed := l.titles[m.Title]
+	if brought != nil {
+		t, listed = title{titleID(m.Title), brought.Base, brought.Copies}, true
+	}
 	came := l.now - waited
 	stop := came + time.Duration(m.Wait)*time.Millisecond
 	switch {
+	case brought != nil && brought.Wrong != "":
+		refuse(wire.Errored, brought.Wrong, &l.counts.Errored)
+		return
 	case l.stop != nil:
 		l.counts.Closing++
 		refuse(wire.Nack, "director closes", &l.counts.Nacked)
@@ -276,10 +292,16 @@
 	}
 	l.lastSession++
 	s := &session{
-		id: l.lastSession, name: l.sessionName(l.lastSession), key: m.Key, tariff: tariff, title: m.Title,
+		id: l.lastSession, name: l.sessionName(l.lastSession), via: c.number, key: m.Key, tariff: tariff, title: m.Title,
 		length: time.Duration(m.Length) * time.Millisecond, stop: stop, conn: c, request: m.ID,
 		rung: l.tariffs[tariff].Floor,
 	}
+	if brought != nil {
+		s.description = brought.Description
+	}
+	if l.manners.Loose {
+		s.name = m.ID
+	}
 	r.session = s
 	l.busy(c, +1)
 	l.sessions[s.id], l.keys[s.key] = s, s
@@ -337,6 +359,10 @@
 
 // remember keeps an ended request among the last few.
 func (l *Loop) remember(c *conn, id string) {
+	if l.manners.Loose { // ids are not used again, and an answer is never given twice
+		delete(c.requests, id)
+		return
+	}
 	c.ended = append(c.ended, id)
 	if len(c.ended) > remembered {
 		delete(c.requests, c.ended[0])
@@ -388,8 +414,8 @@
 // Answers.
 
 // settleAnswer marks a session's answer as given, or as no longer owed where there is none.
-func (l *Loop) settleAnswer(s *session, answer *wire.Session) {
-	s.answered = true
+func (l *Loop) settleAnswer(s *session, answer *wire.Session, description ...byte) {
+	s.answered, s.description = true, nil
 	l.owed--
 	l.timers.Cancel(s.answer)
 	s.answer = 0
@@ -400,7 +426,7 @@
 	if r := s.conn.requests[s.request]; r != nil {
 		r.answer = answer
 	}
-	l.do(TellPlayer{Conn: s.conn.number, Message: *answer})
+	l.do(TellPlayer{Conn: s.conn.number, Message: *answer, Description: description})
 }
 
 func (l *Loop) nack(s *session, backoff time.Duration, why string) {
@@ -446,6 +472,10 @@
 
 // over tells a player that its session has ended.
 func (l *Loop) over(s *session, why string) {
+	if l.manners.Loose {
+		l.tellOver(s, why)
+		return
+	}
 	if s.conn != nil {
 		l.do(TellPlayer{Conn: s.conn.number, Message: wire.Session{Type: wire.Over, ID: s.request, Session: s.name, Why: why}})
 	}
@@ -481,7 +511,7 @@
 		return
 	}
 	l.lastLeg++
-	g := &leg{id: l.lastLeg, session: s, node: n, stop: s.stop}
+	g := &leg{id: l.lastLeg, session: s, node: n, stop: s.stop, began: l.now}
 	if a.Within > 0 {
 		g.stop = min(g.stop, l.now+a.Within)
 	}
@@ -495,9 +525,9 @@
 	l.move(s, setting)
 	g.late = l.timers.Add(g.stop, due{timerLeg, g.id})
 	switch {
-	case n.up && n.greeted:
+	case n.up && n.greeted && !n.trying:
 		l.send(g)
-	case n.up, n.trying:
+	case n.up, n.trying: // or its connection is doubted: one that is proven anew is as good
 	default:
 		l.legEnds(g, fateUnmade, nil)
 	}
@@ -507,10 +537,11 @@
 func (l *Loop) send(g *leg) {
 	s := g.session
 	l.moveLeg(g, legSent)
-	l.do(TellNode{g.node.link, g.id, wire.Node{
+	g.link = g.node.link
+	l.do(TellNode{Link: g.link, Setup: g.id, Message: wire.Node{
 		Type: wire.Setup, Leg: g.id, Session: s.name, Tariff: l.tariffs[s.tariff].Name, Title: s.title,
 		Rung: s.rung, Rate: l.rateOf(s), Within: max(1, (g.stop - l.now).Milliseconds()), Length: s.length.Milliseconds(),
-	}})
+	}, Description: s.description})
 }
 
 func (l *Loop) rateOf(s *session) float64 {
@@ -524,20 +555,28 @@
 	}
 	s.rung = a.Rung
 	if g := s.leg; g != nil && (g.phase == legSent || g.phase == legPlaying) {
-		l.do(TellNode{g.node.link, 0, wire.Node{Type: wire.Rung, Leg: g.id, Rung: s.rung, Rate: l.rateOf(s)}})
+		l.tellRung(g)
 	}
 	if s.phase == playing && s.conn != nil {
-		l.do(TellPlayer{s.conn.number, wire.Session{Type: wire.Rung, ID: s.request, Session: s.name, Rung: s.rung}, s.id})
+		l.do(TellPlayer{Conn: s.conn.number, Merge: s.id,
+			Message: wire.Session{Type: wire.Rung, ID: s.request, Session: s.name, Rung: s.rung}})
+	}
+}
+
+func (l *Loop) tellRung(g *leg) {
+	if g.unrung = !g.node.up; !g.unrung { // else once there is a connection
+		s := g.session
+		l.do(TellNode{Link: g.node.link, Message: wire.Node{Type: wire.Rung, Leg: g.id, Session: s.name, Rung: s.rung, Rate: l.rateOf(s)}})
 	}
 }
 
 // callOff takes a leg's set-up back if it can still be had, and tells the node to drop it if not.
 func (l *Loop) callOff(g *leg) {
 	if g.phase == legSent {
-		l.do(Withdraw{g.node.link, g.id})
+		l.do(Withdraw{g.link, g.id})
 	}
 	if g.phase == legSent || g.phase == legPlaying {
-		l.do(TellNode{g.node.link, 0, wire.Node{Type: wire.End, Leg: g.id}})
+		l.tellEnd(g)
 	}
 }
 
@@ -548,12 +587,14 @@
 		l.legEnds(g, fateUnmade, nil)
 	case legSent:
 		l.callOff(g)
+		n := g.node
 		l.legEnds(g, fateTimedOut, nil)
+		l.doubt(n, g.link)
 	}
 }
 
 // accepted starts a session on its node.
-func (l *Loop) accepted(g *leg, load *wire.Load) {
+func (l *Loop) accepted(g *leg, load *wire.Load, description []byte) {
 	s := g.session
 	if g.phase != legSent || s.answered {
 		l.counts.Late++ // twice, or for a session that has its answer
@@ -564,7 +605,13 @@
 	l.move(s, playing)
 	l.counts.Played++
 	answer := l.plays(s)
-	l.settleAnswer(s, &answer)
+	l.settleAnswer(s, &answer, description...)
+	if l.manners.Loose {
+		if s.conn != nil {
+			l.trusted = s.conn.number
+		}
+		l.unhand(s)
+	}
 	l.tell(policy.Accepted{ID: s.id})
 	// A node that reports tells with the answer what is asked of its link and uplink now.
 	if load != nil && load.Link != nil {
@@ -575,6 +622,9 @@
 	}
 }
 
+// WhyEnded is why a session is over that has come to its end by itself.
+const WhyEnded = "ended"
+
 // legEnds ends a leg, tells the module what is true of it, and the player if its session ends by it.
 func (l *Loop) legEnds(g *leg, f fate, load *wire.Load) {
 	if g.phase == legOver {
@@ -593,7 +643,7 @@
 	if s.phase == playing {
 		switch f {
 		case fateServed:
-			l.over(s, "ended")
+			l.over(s, WhyEnded)
 		case fateBroken, fateReset:
 			l.counts.Broken++
 			l.over(s, "node lost")
@@ -606,6 +656,7 @@
 		l.closeSession(s)
 	}
 	l.tell(policy.Result{ID: s.id, Node: n.name, Outcome: outcome, Final: final, Load: loadOf(load)})
+	l.dropLink(n)
 	l.dropNode(n)
 }
 
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -47,11 +47,13 @@
 	PlayerOpened struct{ Conn uint64 }
 	// Memory is what the program uses now, in bytes.
 	Memory struct{ Bytes int64 }
-	// PlayerSaid is a message from a player that has waited for the loop for so long.
+	// PlayerSaid is a message from a player that has waited for the loop for so long. A request may bring
+	// more than the message holds.
 	PlayerSaid struct {
 		Conn    uint64
 		Message wire.Session
 		Waited  time.Duration
+		Brought *Brought
 	}
 	// PlayerClosed says that a player's connection has ended.
 	PlayerClosed struct{ Conn uint64 }
@@ -60,15 +62,18 @@
 		Node string
 		Link uint64
 	}
-	// LinkFailed says that a Connect failed; nothing was sent on it.
+	// LinkFailed says that a Connect failed; nothing was sent on it. Refused: the machine answers, and
+	// nothing runs there.
 	LinkFailed struct {
-		Node string
-		Link uint64
+		Node    string
+		Link    uint64
+		Refused bool
 	}
-	// LinkSaid is a message from a node.
+	// LinkSaid is a message from a node, with what describes the session where it is accepted.
 	LinkSaid struct {
-		Link    uint64
-		Message wire.Node
+		Link        uint64
+		Message     wire.Node
+		Description []byte
 	}
 	// LinkAlive says how long ago anything last came from a node.
 	LinkAlive struct {
@@ -118,6 +123,14 @@
 func (Tick) input()          {}
 func (Stop) input()          {}
 
+// Brought is what a request brings along where no catalogue says it.
+type Brought struct {
+	Base, Copies int    // where its title lies
+	Description  []byte // of the session, for the node: passed on as it is
+	Playing      string // the node, where the session plays already; no answer is owed then
+	Wrong        string // why the request can't be used; empty: it can
+}
+
 // Output is something to be done: one of the types below that have an output method.
 type Output interface{ output() }
 
@@ -126,9 +139,10 @@
 	// TellPlayer sends a message to a player. A rung that was told may be dropped, or replaced by a later
 	// one of the same Merge that finds it still waiting; an answer never.
 	TellPlayer struct {
-		Conn    uint64
-		Message wire.Session
-		Merge   uint64
+		Conn        uint64
+		Message     wire.Session
+		Merge       uint64
+		Description []byte // of an answer that it plays, as the node gave it
 	}
 	// Welcome lets a player in who has knocked.
 	Welcome struct{ Conn uint64 }
@@ -152,9 +166,10 @@
 	}
 	// TellNode sends a message to a node. Setup is the leg where the message sets one up, else 0.
 	TellNode struct {
-		Link    uint64
-		Setup   uint64
-		Message wire.Node
+		Link        uint64
+		Setup       uint64
+		Message     wire.Node
+		Description []byte // of a set-up, as the player gave it
 	}
 	// Withdraw asks for a leg's set-up back, if not one byte of it was handed to the kernel yet;
 	// Withdrawn answers if it worked, nothing if not.
@@ -199,6 +214,10 @@
 	Linger        time.Duration // a session outlives its player's connection so long
 	Connect       time.Duration // longest try to connect to a node
 	PerConnection int           // sessions that one player's connection may have
+	Greetless     bool          // nodes do not say which start they are in: a connection that is made is ready
+	// Loose: what plays belongs to no connection, of a player or of a node. It outlives both, what concerns it may
+	// come and be told on any, and a request's id is its session's own name. See loose.go.
+	Loose bool
 }
 
 // Decider is what the loop asks about sessions: the module, or a baseline to measure it against.
@@ -243,6 +262,9 @@
 	titles   map[string]title // as long as the list's catalogue
 	listed   bool             // a whole list has come
 
+	untold  []untold // endings that no player's connection was there for; emptied as they are told, or grow old
+	trusted uint64   // the connection on which an answer that it plays was last given; 0: none
+
 	lastSession, lastLeg, lastLink uint64
 
 	owed, playing int
@@ -325,6 +347,7 @@
 	case PlayerOpened:
 		if c := l.conns[e.Conn]; c != nil {
 			l.limit(limits.Event{What: limits.Shook, Conn: int(c.seat)})
+			l.tellUntold(c)
 		}
 	case Memory:
 		l.limit(limits.Event{What: limits.Measure, Memory: e.Bytes})
@@ -441,7 +464,7 @@
 		l.ring = 0
 		l.reached(reach.Event{What: reach.Ring})
 	case timerPing:
-		if n := l.links[t.id]; n != nil && n.up {
+		if n := l.links[t.id]; n != nil && n.up && n.link == t.id {
 			l.do(AskAlive{t.id})
 			n.ping = l.timers.Add(l.now+l.ping, due{timerPing, t.id})
 		}
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -166,7 +166,7 @@
 	s.do(said(g, wire.Accepted))
 	s.do(said(g, wire.Accepted)) // twice
 	s.oneAnswer(wire.Plays)
-	s.do(LinkSaid{g.Link, wire.Node{Type: wire.Accepted, Leg: 999}}) // of nobody
+	s.do(LinkSaid{Link: g.Link, Message: wire.Node{Type: wire.Accepted, Leg: 999}}) // of nobody
 	if e := s.ends(); len(e) != 1 || e[0] != 999 {
 		t.Fatal("who plays for nobody is not ended", e)
 	}
@@ -174,7 +174,7 @@
 	if other == g.Link {
 		other = s.links[name(1)]
 	}
-	s.do(LinkSaid{other, wire.Node{Type: wire.Ended, Leg: g.Setup}}) // of another node's leg
+	s.do(LinkSaid{Link: other, Message: wire.Node{Type: wire.Ended, Leg: g.Setup}}) // of another node's leg
 	if len(s.told(wire.Over)) != 0 {
 		t.Fatal("another node ended it")
 	}
@@ -260,7 +260,7 @@
 	s = newStage(t, 1)
 	s.do(LinkLost{Link: s.links[name(0)]})
 	s.want("1", "exam")
-	s.do(LinkFailed{name(0), s.links[name(0)]})
+	s.do(LinkFailed{Node: name(0), Link: s.links[name(0)]})
 	s.pass(2 * time.Second)
 	s.oneAnswer(wire.Nack)
 	if n := s.loop.counts.NeverRan[2]; n == 0 {
@@ -437,7 +437,7 @@
 func TestNewStartIsTold(t *testing.T) {
 	s := newStage(t, 1)
 	link := s.links[name(0)]
-	s.do(LinkSaid{link, wire.Node{Type: wire.Hello, Start: 77, Age: 10}})
+	s.do(LinkSaid{Link: link, Message: wire.Node{Type: wire.Hello, Start: 77, Age: 10}})
 	if n := s.loop.nodes[name(0)]; n.start != 77 || n.born != s.now-10*ms {
 		t.Fatal(n.start, n.born)
 	}
@@ -473,7 +473,7 @@
 		t.Fatal("not connected to again")
 	}
 	// Off for good: once the last leg has ended nothing of it is left.
-	s.do(LinkFailed{name(0), s.links[name(0)]})
+	s.do(LinkFailed{Node: name(0), Link: s.links[name(0)]})
 	s.do(ListSaid{wire.List{Type: wire.Whole, Serial: 4, Titles: []wire.Title{{Title: "t", Copies: 8}}}})
 	if len(s.loop.nodes) != 0 || len(s.loop.links) != 0 {
 		t.Fatal(len(s.loop.nodes), len(s.loop.links))
@@ -601,7 +601,7 @@
 	if len(s.setups()) != 0 {
 		t.Fatal("sent before the node has said which start it is in")
 	}
-	s.do(LinkSaid{s.links[name(0)], wire.Node{Type: wire.Hello, Start: 77, Age: 5}})
+	s.do(LinkSaid{Link: s.links[name(0)], Message: wire.Node{Type: wire.Hello, Start: 77, Age: 5}})
 	if n := s.loop.counts.NeverRan[3]; n != 1 {
 		t.Fatal(n, "legs taken back")
 	}
@@ -629,7 +629,7 @@
 	s.do(LinkLost{Link: s.links[name(0)]})
 	s.pass(ms)
 	s.do(LinkMade{name(0), s.links[name(0)]})
-	s.do(LinkSaid{s.links[name(0)], wire.Node{Type: wire.Hello, Start: 9, Age: 50}})
+	s.do(LinkSaid{Link: s.links[name(0)], Message: wire.Node{Type: wire.Hello, Start: 9, Age: 50}})
 	s.pass(2 * time.Second)
 	s.want("1", "clip")
 	g := s.oneLeg()
@@ -667,7 +667,7 @@
 		} else {
 			greeting.Age = 10
 		}
-		s.do(LinkSaid{s.links[name(0)], greeting})
+		s.do(LinkSaid{Link: s.links[name(0)], Message: greeting})
 		if n := s.loop.nodes[name(0)]; n.entry.Born < s.now-50*ms {
 			t.Fatalf("by the list %t: taken for started at %v at %v", byList, n.entry.Born, s.now)
 		}
--- a/internal/director/nodes.go
+++ b/internal/director/nodes.go
@@ -31,6 +31,10 @@
 	reached uint64        // the start that the connection was made to; 0: not told yet
 	since   time.Duration // when that was, by the node's own word
 	entry   policy.Entry  // as the module last heard it
+	made    time.Duration // when the connection was
+	check   uint64        // loose: the connection that is being made beside a doubted one
+	old     uint64        // loose: the connection before, until the set-ups sent on it have ended
+	ends    []wire.Node   // loose: what is still to be called off there; emptied by the next connection
 	ping    alarm.Handle
 	legs    map[uint64]*leg // emptied as legs end
 }
@@ -59,9 +63,17 @@
 	for _, place := range plan.Dial {
 		n := l.places[place]
 		l.lastLink++
-		n.link, n.trying, n.dialled = l.lastLink, true, n.address
-		l.links[n.link] = n
-		l.do(Connect{n.name, n.address, n.link, l.manners.Connect})
+		n.trying, n.dialled = true, n.address
+		if n.up { // one to check on it by
+			n.check = l.lastLink
+		} else {
+			n.link = l.lastLink
+		}
+		l.links[l.lastLink] = n
+		l.do(Connect{n.name, n.address, l.lastLink, l.manners.Connect})
+	}
+	for _, place := range plan.Dead {
+		l.dead(l.places[place])
 	}
 	if plan.Ring > 0 && (l.ring == 0 || plan.Ring < l.ringAt) {
 		l.timers.Cancel(l.ring)
@@ -73,13 +85,20 @@
 
 func (l *Loop) linkMade(e LinkMade) {
 	n := l.links[e.Link]
-	if n == nil || n.link != e.Link {
+	if n == nil || n.link != e.Link && n.check != e.Link {
 		l.do(HangUp{e.Link})
 		return
 	}
-	n.trying, n.up, n.greeted = false, true, false
-	n.ping = l.timers.Add(l.now+l.ping, due{timerPing, e.Link})
-	l.do(TellNode{e.Link, 0, wire.Node{Type: wire.Hello, Director: l.name}})
+	if n.check == e.Link {
+		l.replaceLink(n)
+	}
+	n.trying, n.up, n.greeted, n.made = false, true, l.manners.Greetless, l.now
+	if l.ping > 0 {
+		n.ping = l.timers.Add(l.now+l.ping, due{timerPing, e.Link})
+	}
+	if !l.manners.Greetless {
+		l.do(TellNode{Link: e.Link, Message: wire.Node{Type: wire.Hello, Director: l.name}})
+	}
 	l.reached(reach.Event{Node: n.place, What: reach.Made})
 	if n.dialled != n.address { // the list has moved it meanwhile
 		l.do(HangUp{e.Link})
@@ -87,10 +106,19 @@
 		return
 	}
 	for _, g := range sorted(n.legs) {
-		if g.phase == legWaiting && !n.open { // the list has taken it off meanwhile
+		switch {
+		case g.phase == legWaiting && !n.open: // the list has taken it off meanwhile
 			l.legEnds(g, fateUnmade, nil)
+		case g.phase == legWaiting && n.greeted:
+			l.send(g)
+		case g.phase == legPlaying && g.unrung:
+			l.tellRung(g)
 		}
 	}
+	for _, m := range n.ends {
+		l.do(TellNode{Link: e.Link, Message: m})
+	}
+	n.ends = nil
 	l.dropNode(n)
 }
 
@@ -101,7 +129,20 @@
 	}
 	delete(l.links, e.Link)
 	n.trying = false
-	l.reached(reach.Event{Node: n.place, What: reach.Failed})
+	if n.check == e.Link { // the connection that was doubted leads nowhere either
+		n.check = 0
+		l.log("node %s can't be connected to again: its connection is given up, %d legs on it", n.name, len(n.legs))
+		l.do(HangUp{n.link})
+		delete(l.links, n.link)
+		l.cutLegs(n, n.link, nil)
+		n.up, n.greeted = false, false
+		l.timers.Cancel(n.ping)
+	}
+	what := reach.Failed
+	if e.Refused {
+		what = reach.Refused
+	}
+	l.reached(reach.Event{Node: n.place, What: what})
 	for _, g := range sorted(n.legs) {
 		if g.phase == legWaiting {
 			l.legEnds(g, fateUnmade, nil)
@@ -116,31 +157,62 @@
 		return
 	}
 	delete(l.links, e.Link)
+	if n.link != e.Link {
+		if n.old == e.Link {
+			n.old = 0
+		}
+		l.cutLegs(n, e.Link, e.Unsent)
+		l.dropNode(n)
+		return
+	}
 	n.up, n.greeted, n.reached = false, false, 0
 	l.timers.Cancel(n.ping)
+	if n.check != 0 { // the try beside it goes on in its place
+		n.link, n.check = n.check, 0
+		l.cutLegs(n, e.Link, e.Unsent)
+		l.dropNode(n)
+		return
+	}
 	if n.listed {
 		l.reached(reach.Event{Node: n.place, What: reach.Lost})
 	} else {
 		l.reached(reach.Event{Node: n.place, What: reach.Unlisted})
 	}
+	l.cutLegs(n, e.Link, e.Unsent)
+	if !n.listed && l.manners.Loose { // nothing will be heard of it any more
+		l.dead(n)
+	}
+	l.dropNode(n)
+}
+
+// cutLegs ends what a node's connection takes with it.
+func (l *Loop) cutLegs(n *node, link uint64, unsent []uint64) {
 	for _, g := range sorted(n.legs) {
 		switch {
-		case g.phase == legSent && slices.Contains(e.Unsent, g.id):
+		case g.phase == legSent && g.link != link:
+		case g.phase == legSent && slices.Contains(unsent, g.id):
 			l.legEnds(g, fateUnsent, nil)
 		case g.phase == legSent:
 			l.legEnds(g, fateReset, nil)
+		case l.manners.Loose: // it plays on, and what waits goes by the next connection
+			if g.phase == legWaiting && !n.trying && !n.up {
+				l.legEnds(g, fateUnmade, nil)
+			}
 		case g.phase == legPlaying:
 			l.legEnds(g, fateBroken, nil)
 		case g.phase == legWaiting:
 			l.legEnds(g, fateUnmade, nil)
 		}
 	}
-	l.dropNode(n)
 }
 
 // linkAlive hangs up on a node that has been quiet for too long.
 func (l *Loop) linkAlive(e LinkAlive) {
-	if n := l.links[e.Link]; n != nil && n.up && l.reached(reach.Event{Node: n.place, What: reach.Heard, Ago: e.Quiet}) {
+	if n := l.links[e.Link]; n != nil && n.up && l.manners.Loose {
+		if l.reached(reach.Event{Node: n.place, What: reach.Heard, Ago: e.Quiet}) && l.playsSince(n, l.now-e.Quiet) {
+			l.doubt(n, e.Link)
+		}
+	} else if n != nil && n.up && l.reached(reach.Event{Node: n.place, What: reach.Heard, Ago: e.Quiet}) {
 		l.log("node %s has been quiet for %v: its connection is given up, %d legs with it", n.name,
 			e.Quiet.Round(time.Millisecond), len(n.legs))
 		l.do(HangUp{e.Link})
@@ -158,16 +230,19 @@
 		return
 	}
 	g := l.legs[m.Leg]
+	if l.manners.Loose {
+		g = l.looseLeg(n, e)
+	}
 	if g == nil || g.node != n {
 		l.counts.Stray++
-		if m.Type == wire.Accepted { // it plays for nobody
-			l.do(TellNode{e.Link, 0, wire.Node{Type: wire.End, Leg: m.Leg}})
+		if m.Type == wire.Accepted && !l.manners.Loose { // it plays for nobody
+			l.do(TellNode{Link: e.Link, Message: wire.Node{Type: wire.End, Leg: m.Leg}})
 		}
 		return
 	}
 	switch m.Type {
 	case wire.Accepted:
-		l.accepted(g, m.Load)
+		l.accepted(g, m.Load, e.Description)
 	case wire.Full:
 		if g.phase == legPlaying { // it has said that it plays: no proof of the opposite
 			l.counts.Late++
@@ -175,18 +250,32 @@
 			return
 		}
 		l.legEnds(g, fateFull, m.Load)
+	case wire.Unsent:
+		if g.phase == legPlaying {
+			l.counts.Late++
+			return
+		}
+		l.legEnds(g, fateUnsent, m.Load)
 	case wire.Failed:
 		if g.phase == legPlaying {
 			l.legEnds(g, fateBroken, m.Load)
 			return
 		}
+		if m.Why == wire.Lost {
+			l.legEnds(g, fateReset, m.Load)
+			return
+		}
 		l.legEnds(g, fateFailed, m.Load)
 	case wire.Ended:
 		switch {
+		case g.phase != legPlaying && l.manners.Loose: // it broke on its way
+			l.legEnds(g, fateReset, m.Load)
 		case g.phase != legPlaying:
 			l.legEnds(g, fateFailed, m.Load)
-		case m.Why == "lost":
+		case m.Why == wire.Lost:
 			l.legEnds(g, fateBroken, m.Load)
+		case m.Why == wire.CalledOff:
+			l.legEnds(g, fateCalledOff, m.Load)
 		default:
 			l.legEnds(g, fateServed, m.Load)
 		}
@@ -350,6 +439,9 @@
 	if born != policy.LongAgo && (anew || born > n.born+sameStart) {
 		n.born = born
 	}
+	if l.manners.Loose && changed && n.listed && n.start != 0 {
+		l.restarted(n)
+	}
 	out.Born = n.born
 	n.begin(e.Start)
 	n.open, n.entry = e.State == wire.Up, out
@@ -412,6 +504,10 @@
 	}
 	delete(l.nodes, n.name)
 	l.free = append(l.free, n.place)
+	if n.old != 0 {
+		l.do(HangUp{n.old})
+		delete(l.links, n.old)
+	}
 	if n.up {
 		l.do(HangUp{n.link})
 		l.linkLost(LinkLost{Link: n.link})
--- a/internal/director/replaced_test.go
+++ b/internal/director/replaced_test.go
@@ -12,7 +12,7 @@
 // the new address was dropped, and once the old connection broke it was sought at the old one for ever.
 func TestListWithoutAgesMovesANode(t *testing.T) {
 	s := newStage(t, 1)
-	s.do(LinkSaid{s.links["n0"], wire.Node{Type: wire.Hello, Start: 1, Age: 5000}})
+	s.do(LinkSaid{Link: s.links["n0"], Message: wire.Node{Type: wire.Hello, Start: 1, Age: 5000}})
 	e := up(0)
 	e.Start, e.Address = 7, "b:n0"
 	s.forget()
@@ -30,7 +30,7 @@
 func TestListWithoutAgesIsBehind(t *testing.T) {
 	for _, start := range []uint64{1, 9} {
 		s := newStage(t, 1)
-		s.do(LinkSaid{s.links["n0"], wire.Node{Type: wire.Hello, Start: 2, Age: 500}})
+		s.do(LinkSaid{Link: s.links["n0"], Message: wire.Node{Type: wire.Hello, Start: 2, Age: 500}})
 		e := up(0)
 		e.Start = start
 		s.forget()
@@ -50,7 +50,7 @@
 	e := up(0)
 	e.Age = absurd
 	s.do(ListSaid{wire.List{Type: wire.Update, Serial: 2, Nodes: []wire.Entry{e}}})
-	s.do(LinkSaid{s.links["n0"], wire.Node{Type: wire.Hello, Start: 1, Age: absurd}})
+	s.do(LinkSaid{Link: s.links["n0"], Message: wire.Node{Type: wire.Hello, Start: 1, Age: absurd}})
 	if born := s.loop.nodes["n0"].born; born != policy.LongAgo {
 		t.Fatal("started at", born)
 	}
@@ -66,9 +66,9 @@
 	s.oneAnswer(wire.Errored)
 	s.pass(200 * ms)
 	s.do(LinkMade{"n0", s.links["n0"]})
-	s.do(LinkSaid{s.links["n0"], wire.Node{Type: wire.Hello, Start: 2, Age: 5}})
-	s.do(LinkSaid{s.links["n0"], wire.Node{Type: wire.Full, Leg: g.Setup}})
-	s.do(LinkSaid{s.links["n0"], wire.Node{Type: wire.Accepted, Leg: g.Setup}})
+	s.do(LinkSaid{Link: s.links["n0"], Message: wire.Node{Type: wire.Hello, Start: 2, Age: 5}})
+	s.do(LinkSaid{Link: s.links["n0"], Message: wire.Node{Type: wire.Full, Leg: g.Setup}})
+	s.do(LinkSaid{Link: s.links["n0"], Message: wire.Node{Type: wire.Accepted, Leg: g.Setup}})
 	s.pass(5 * time.Second)
 	s.oneAnswer(wire.Errored)
 	s.oneLeg()
--- a/internal/director/stage_test.go
+++ b/internal/director/stage_test.go
@@ -110,7 +110,7 @@
 // makeLink connects a node, which says then that it is in a start that the director knows.
 func (s *stage) makeLink(node string) {
 	s.do(LinkMade{node, s.links[node]})
-	s.do(LinkSaid{s.links[node], wire.Node{Type: wire.Hello}})
+	s.do(LinkSaid{Link: s.links[node], Message: wire.Node{Type: wire.Hello}})
 }
 
 func (s *stage) want(id, tariff string, change ...func(*wire.Session)) {
@@ -200,5 +200,5 @@
 }
 
 func said(g TellNode, kind string) LinkSaid {
-	return LinkSaid{g.Link, wire.Node{Type: kind, Leg: g.Setup}}
+	return LinkSaid{Link: g.Link, Message: wire.Node{Type: kind, Leg: g.Setup}}
 }
--- a/internal/director/town_test.go
+++ b/internal/director/town_test.go
@@ -507,7 +507,7 @@
 		}
 	}
 	if len(legs) == 0 {
-		p.do(LinkSaid{p.numbers, wire.Node{Type: wire.Accepted, Leg: 1}}) // of a connection that is no more
+		p.do(LinkSaid{Link: p.numbers, Message: wire.Node{Type: wire.Accepted, Leg: 1}}) // of a connection that is no more
 		return
 	}
 	order := make([]int, len(legs))
@@ -548,7 +548,7 @@
 		if p.odds(3) {
 			m.Load = &wire.Load{Streams: new(one(p.town, []float64{0, 5, 1e6})), Link: new(p.Float64() * 2)}
 		}
-		p.do(LinkSaid{links[i], m})
+		p.do(LinkSaid{Link: links[i], Message: m})
 	}
 }
 
@@ -573,7 +573,7 @@
 	if p.charter.ages && l.m.born >= 0 {
 		hello.Age = max(1, (p.now - l.m.born).Milliseconds())
 	}
-	p.do(LinkSaid{link, hello})
+	p.do(LinkSaid{Link: link, Message: hello})
 }
 
 // nodeTurns ends a node's process or starts it anew, under the same name.
--- /dev/null
+++ b/internal/platform/start.go
@@ -0,0 +1,261 @@
+package platform
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"fordusher/closing"
+	"fordusher/internal/conf"
+	"fordusher/internal/director"
+	"fordusher/internal/simwire"
+	"fordusher/internal/transport"
+	"fordusher/internal/wire"
+	"fordusher/limits"
+	"fordusher/reach"
+)
+
+// The variables that tell a director what it is.
+const (
+	envName    = "PROXY_NAME"
+	envListen  = "PROXY_LISTEN"
+	EnvPosting = "PROXY_CONFIG" // the file with all of it
+)
+
+// A Posting is what a director is told at its start.
+type Posting struct {
+	Name   string `json:"name"`
+	Listen string `json:"listen"`
+	Seed   string `json:"seed"`
+	Limits struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB int64   `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	Board string `json:"board"`
+	Known struct {
+		Rev     uint64   `json:"rev"`
+		Notices []notice `json:"notices"`
+	} `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+
+	trade *simwire.Conf
+}
+
+// A notice is an event of the notice board in text.
+type notice struct {
+	Rev  uint64 `json:"rev"`
+	Pool struct {
+		All     bool     `json:"all"`
+		Targets []target `json:"targets"`
+	} `json:"pool"`
+}
+
+type target struct {
+	ID       string  `json:"uid"`
+	Endpoint string  `json:"endpoint"`
+	Zone     string  `json:"az"`
+	Kind     string  `json:"model"`
+	Cell     int     `json:"pod_group"`
+	State    string  `json:"state"`
+	Weight   float64 `json:"capacity_hint"`
+	Boot     int64   `json:"boot_ms"`
+}
+
+// states are those of a media node, by their numbers in frames; stateNames are theirs in text.
+var (
+	states     = [...]string{wire.Up, wire.Draining, wire.Removed}
+	stateNames = map[string]string{"ready": wire.Up, "draining": wire.Draining, "gone": wire.Removed}
+)
+
+// A Wrong is a posting that can't be used; it names the variable, or the file and the place.
+type Wrong string
+
+func (w Wrong) Error() string { return string(w) }
+
+func wrongf(format string, what ...any) error { return Wrong(fmt.Sprintf(format, what...)) }
+
+// ReadPosting reads what the environment and the file that it names tell.
+func ReadPosting(getenv func(string) string) (*Posting, error) {
+	file := getenv(EnvPosting)
+	if file == "" {
+		return nil, wrongf("%s is not set: it names the file that tells a director what it is", EnvPosting)
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, wrongf("%s: %v", EnvPosting, err)
+	}
+	p, err := parsePosting(text)
+	if err != nil {
+		return nil, wrongf("%s: %v", file, err)
+	}
+	if name := getenv(envName); name != "" {
+		p.Name = name
+	}
+	if listen := getenv(envListen); listen != "" {
+		p.Listen = listen
+	}
+	for _, x := range []struct{ what, address string }{{envListen + " or listen", p.Listen}, {"board", p.Board}} {
+		if _, _, err := net.SplitHostPort(x.address); err != nil {
+			return nil, wrongf("%s: %s is %q; it has to be host:port", file, x.what, x.address)
+		}
+	}
+	if p.Name == "" {
+		return nil, wrongf("%s: there is no name, and %s is not set", file, envName)
+	}
+	return p, nil
+}
+
+func parsePosting(text []byte) (*Posting, error) {
+	p := &Posting{}
+	if err := json.Unmarshal(text, p); err != nil {
+		var at int64
+		switch e := err.(type) {
+		case *json.SyntaxError:
+			at = e.Offset
+		case *json.UnmarshalTypeError:
+			at = e.Offset
+		}
+		return nil, fmt.Errorf("line %d: %w", 1+bytes.Count(text[:min(at, int64(len(text)))], []byte("\n")), err)
+	}
+	if len(p.Settings) == 0 {
+		return nil, fmt.Errorf("settings: there are none")
+	}
+	trade, err := simwire.ParseConf(p.Settings)
+	if err != nil {
+		return nil, err
+	}
+	f := &trade.Family
+	switch {
+	case len(trade.Classes) == 0:
+		return nil, fmt.Errorf("settings: classes: there are none")
+	case len(f.Ladder) == 0:
+		return nil, fmt.Errorf("settings: family_info: ladder_kb: a ladder has at least one rung")
+	case f.Cells <= 0 || f.Racks <= 0 || f.LinkUnit <= 0 || f.Uplink <= 0:
+		return nil, fmt.Errorf("settings: family_info: positions, shelves, link_unit_kb and rack_link_kb have to be over 0")
+	case p.Limits.MemoryMB < 0 || p.Limits.Sockets < 0 || p.Limits.Cores < 0:
+		return nil, fmt.Errorf("limits: a number is under 0")
+	}
+	p.trade = trade
+	return p, nil
+}
+
+// Chance is what chance is drawn from: the seed, 16 hex digits.
+func (p *Posting) Chance() (uint64, error) {
+	n, err := strconv.ParseUint(p.Seed, 16, 64)
+	if err != nil {
+		return 0, wrongf("seed is %q; it has to be hex digits", p.Seed)
+	}
+	return n, nil
+}
+
+// Module starts the module with the settings, as on the simulator's wire.
+func (p *Posting) Module(seed uint64) director.Decider { return p.trade.Director(seed) }
+
+// What a front's connections may cost, beside the limits that the platform states. A viewer's connection that has said
+// nothing whole within silentMost is closed; the platform closes its own after 4 s.
+const (
+	silentMost   = 2 * time.Second
+	writeMost    = time.Second
+	viewerQueue  = 256 << 10
+	nodeQueue    = 256 << 10
+	kernelMost   = 64 << 10
+	boardQuiet   = 2200 * time.Millisecond
+	answerAhead  = 20 * time.Millisecond
+	perViewer    = 256
+	inboxMost    = 512
+	nodeSockets  = 3 // for each media node: one standing, one being made, one being closed
+	nodesSpare   = 8 // that may come beyond the cells there are
+	socketsSpare = 32
+	silentShare  = 4 // the part of the room that may be silent
+	fewSockets   = 64
+	memoryPart   = 0.8 // of the limit: what the program may hold before it takes nobody more
+	forever      = 24 * time.Hour
+)
+
+// House is what the loop and the daemon are told.
+func (p *Posting) House(now time.Time) *conf.House {
+	t := p.trade
+	tariffs := t.Tariffs()
+	h := &conf.House{
+		Name: p.Name, Listen: p.Listen, List: p.Board, ListQuiet: boardQuiet, Ladder: t.Ladder(), Machines: t.Kinds,
+	}
+	goals := make([]time.Duration, len(tariffs))
+	for i, x := range tariffs {
+		h.Tariffs = append(h.Tariffs, director.Tariff{Name: t.Classes[i].Name, Tariff: x})
+		goals[i] = x.GoalTime
+	}
+	h.Peers.Me, h.Peers.Directors, h.Peers.Zone = t.Me, t.Directors, t.Zone
+	h.Fleet.Cells, h.Fleet.Racks = t.Family.Cells, t.Family.Racks
+	connect := simwire.Span(t.Permissions.Connect)
+	if connect <= 0 {
+		connect = time.Second
+	}
+	h.Manners = director.Manners{
+		AnswerAhead: answerAhead, Connect: connect, PerConnection: perViewer, Greetless: true, Loose: true,
+	}
+	h.Pace = reach.Pace{First: 100 * time.Millisecond, Most: time.Second, AtOnce: 64}
+	if every := simwire.Span(t.Family.Every); every > 0 { // a node with sessions is heard so often
+		h.Pace.Ping = (every + time.Second) / 3
+	}
+	h.Term = closing.Term{Within: 2500 * time.Millisecond, Slice: 250 * time.Millisecond, Least: time.Second}
+	sockets := p.Limits.Sockets
+	if sockets == 0 {
+		sockets = 1024
+	}
+	room := max(fewSockets, sockets-nodeSockets*(t.Family.Cells+nodesSpare)-socketsSpare)
+	h.Room = limits.Room{
+		Connections: room, Handshakes: room, Ping: forever, Patience: 5 * time.Second, Handshake: silentMost,
+		Retry: time.Second,
+	}
+	if p.Limits.MemoryMB > 0 {
+		h.Room.Memory = int64(float64(p.Limits.MemoryMB<<20) * memoryPart)
+	}
+	h.Queue = limits.Queue{Wait: limits.Bearable(goals), Retry: time.Second}
+	h.Door = conf.Door{
+		Players: transport.Bounds{Message: messageMost, Queue: viewerQueue, Write: writeMost, Handshake: silentMost,
+			Kernel: kernelMost, Pending: max(16, room/silentShare)},
+		Nodes: transport.Bounds{Message: messageMost, Queue: nodeQueue, Write: writeMost},
+		List:  transport.Bounds{Message: frameMost, Queue: nodeQueue, Write: writeMost},
+		Inbox: inboxMost,
+	}
+	named := map[string]int{}
+	for _, x := range p.Known.Notices { // the state that they come to
+		if x.Pool.All {
+			h.Nodes, named = nil, map[string]int{}
+		}
+		for _, e := range x.Pool.Targets {
+			entry := e.entry(now)
+			if i, ok := named[entry.Node]; ok {
+				h.Nodes[i] = entry
+				continue
+			}
+			named[entry.Node] = len(h.Nodes)
+			h.Nodes = append(h.Nodes, entry)
+		}
+	}
+	return h
+}
+
+func (e target) entry(now time.Time) wire.Entry {
+	state, known := stateNames[e.State]
+	if !known {
+		state = wire.Draining // nothing is known to be allowed there
+	}
+	return wire.Entry{
+		Node: e.ID, Address: e.Endpoint, State: state, Kind: e.Kind, Zone: e.Zone, Start: uint64(max(0, e.Boot)),
+		Age: age(uint64(max(0, e.Boot)), now), Weight: e.Weight, Cell: e.Cell,
+	}
+}
+
+// age is how long ago a Unix millisecond is, in ms; 0 where it is not told.
+func age(started uint64, now time.Time) int64 {
+	if started == 0 {
+		return 0
+	}
+	return max(1, now.UnixMilli()-int64(min(started, 1<<62)))
+}
--- /dev/null
+++ b/internal/platform/viewers.go
@@ -0,0 +1,282 @@
+// Package platform has the protocol of the operators' platform: viewers' binary messages, media nodes' RTSP and the
+// notice board's frames, as pure codecs; what a director is told at its start; and the translation of all three into
+// the words of the director's loop and back (Front). It decides nothing. docs/platform.md has the design.
+package platform
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+
+	"fordusher/internal/transport"
+)
+
+// messageMost is the largest message of viewers and media nodes, in bytes.
+const messageMost = 16 << 10
+
+// A viewers' message is length:2 type:1 session:8 and parameters of code:1 length:2 value; the length counts all that
+// follows it. Numbers are big-endian.
+const (
+	lengthSize = 2
+	headSize   = lengthSize + 1 + 8
+	paramHead  = 1 + 2
+)
+
+// The types of viewers' messages.
+const (
+	kindSetup    = 1
+	kindProgress = 6
+	kindAnswer   = 9
+	kindRelease  = 12
+	kindHeard    = 16
+	kindNote     = 44
+	kindMove     = 51
+	kindTest     = 52
+	kindTested   = 53
+	kindRung     = 60
+)
+
+// The codes of parameters.
+const (
+	codeClass       = 33
+	codeWait        = 36
+	codeTitle       = 45
+	codePlace       = 48
+	codeHint        = 63
+	codeCause       = 75
+	codeDescription = 78
+)
+
+// The causes of releases. Those that say that trying again is harmless claim that nothing ran.
+const (
+	causeEnded    = 16 // the session has come to its end; before the answer: given up
+	causeMoved    = 31 // moved, or ended by its viewer
+	causeLost     = 41 // the session was cut
+	causeNacked   = 42 // trying again is harmless
+	causeErrored  = 47 // nothing is claimed
+	causeUnusable = 95 // nothing is claimed: the request can't be used
+)
+
+// A viewerMessage is a message of viewers, its parameters not looked at.
+type viewerMessage struct {
+	kind    byte
+	session uint64
+	params  []byte
+}
+
+var errLength = errors.New("a length that no message has")
+
+// splitViewer finds a viewers' message at the beginning of what has come.
+func splitViewer(in []byte) (int, error) {
+	if len(in) < lengthSize {
+		return 0, nil
+	}
+	size := lengthSize + int(binary.BigEndian.Uint16(in))
+	if size < headSize || size > messageMost {
+		return 0, fmt.Errorf("%w: %d", errLength, size-lengthSize)
+	}
+	if len(in) < size {
+		return 0, nil
+	}
+	return size, nil
+}
+
+var _ transport.Split = splitViewer
+
+func readViewer(raw []byte) (viewerMessage, error) {
+	if size, err := splitViewer(raw); err != nil || size != len(raw) {
+		return viewerMessage{}, errLength
+	}
+	return viewerMessage{raw[lengthSize], binary.BigEndian.Uint64(raw[lengthSize+1:]), raw[headSize:]}, nil
+}
+
+// each calls f for every parameter; it fails where they do not fill the message exactly, or one comes twice.
+func (m viewerMessage) each(f func(code byte, value []byte) error) error {
+	var seen [256]bool
+	for in := m.params; len(in) > 0; {
+		if len(in) < paramHead {
+			return errors.New("a parameter is cut off")
+		}
+		code, size := in[0], int(binary.BigEndian.Uint16(in[1:]))
+		if len(in) < paramHead+size {
+			return fmt.Errorf("parameter %d is cut off", code)
+		}
+		if seen[code] {
+			return fmt.Errorf("parameter %d comes twice", code)
+		}
+		seen[code] = true
+		if err := f(code, in[paramHead:paramHead+size]); err != nil {
+			return fmt.Errorf("parameter %d: %w", code, err)
+		}
+		in = in[paramHead+size:]
+	}
+	return nil
+}
+
+// viewerWriter makes a viewers' message.
+type viewerWriter []byte
+
+func newViewer(kind byte, session uint64) viewerWriter {
+	w := make(viewerWriter, headSize, 64)
+	w[lengthSize] = kind
+	binary.BigEndian.PutUint64(w[lengthSize+1:], session)
+	return w
+}
+
+func (w viewerWriter) param(code byte, value []byte) viewerWriter {
+	w = append(w, code, byte(len(value)>>8), byte(len(value)))
+	return append(w, value...)
+}
+
+func (w viewerWriter) done() []byte {
+	binary.BigEndian.PutUint16(w, uint16(len(w)-lengthSize))
+	return w
+}
+
+func release(session uint64, cause byte) []byte {
+	return newViewer(kindRelease, session).param(codeCause, []byte{cause}).done()
+}
+
+// A setup is what a viewer's set-up says.
+type setup struct {
+	class, title       string
+	wait               int64 // ms
+	hint               float64
+	home, copies, top  int
+	at                 string // the media node, where it plays already
+	description        []byte
+	hasWait, hasFigure bool
+}
+
+// The bounds of a set-up's figures: what lies beyond is a fault of its sender.
+const (
+	waitMost = 3_600_000 // ms
+	hintMost = 1e9       // ms
+	cellMost = 1 << 16
+	topMost  = 1 << 8
+	wordMost = 128
+)
+
+// readSetup reads a set-up. On an error it holds what was read before.
+func readSetup(m viewerMessage) (s setup, err error) {
+	err = m.each(func(code byte, value []byte) error {
+		switch code {
+		case codeClass:
+			s.class = string(value)
+			return word(s.class)
+		case codeTitle:
+			s.title = string(value)
+			return hexID(s.title)
+		case codeWait:
+			s.hasWait = true
+			s.wait, err = whole(string(value), 1, waitMost)
+			return err
+		case codeHint:
+			s.hint, err = strconv.ParseFloat(string(value), 64)
+			if err != nil || math.IsNaN(s.hint) || s.hint < 0 || s.hint > hintMost {
+				return errors.New("no length of a session")
+			}
+		case codePlace:
+			s.hasFigure = true
+			return s.place(string(value))
+		case codeDescription:
+			s.description = value
+		}
+		return nil
+	})
+	switch {
+	case err != nil:
+	case s.class == "" || s.title == "" || !s.hasFigure || s.description == nil:
+		err = errors.New("class, title, place and description are not all there")
+	case !s.hasWait && s.at == "":
+		err = errors.New("it is not said how long the viewer waits")
+	}
+	return s, err
+}
+
+// place reads the figures of the request and its viewer: key:value, separated by semicolons.
+func (s *setup) place(text string) (err error) {
+	seen := map[string]bool{}
+	for part := range strings.SplitSeq(text, ";") {
+		key, value, ok := strings.Cut(part, ":")
+		if !ok || seen[key] {
+			return fmt.Errorf("%q", part)
+		}
+		seen[key] = true
+		var n int64
+		switch key {
+		case "home":
+			n, err = whole(value, 0, cellMost)
+			s.home = int(n)
+		case "copies":
+			n, err = whole(value, 1, cellMost)
+			s.copies = int(n)
+		case "top":
+			n, err = whole(value, 0, topMost)
+			s.top = int(n)
+		case "viewer":
+			err = hexID(value)
+		case "at":
+			s.at, err = value, word(value)
+		}
+		if err != nil {
+			return fmt.Errorf("%s: %w", key, err)
+		}
+	}
+	if !seen["home"] || !seen["copies"] || !seen["top"] {
+		return errors.New("home, copies and top are not all there")
+	}
+	return nil
+}
+
+func whole(text string, least, most int64) (int64, error) {
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || n < least || n > most {
+		return 0, fmt.Errorf("not a number from %d to %d", least, most)
+	}
+	return n, nil
+}
+
+func word(text string) error {
+	if len(text) == 0 || len(text) > wordMost {
+		return errors.New("no name")
+	}
+	for _, c := range []byte(text) {
+		if c <= ' ' || c > '~' {
+			return errors.New("no name")
+		}
+	}
+	return nil
+}
+
+// idSize is how many hex digits an id has.
+const idSize = 16
+
+func hexID(text string) error {
+	if len(text) != idSize {
+		return errors.New("not 16 hex digits")
+	}
+	for _, c := range []byte(text) {
+		if (c < '0' || c > '9') && (c < 'a' || c > 'f') {
+			return errors.New("not 16 hex digits")
+		}
+	}
+	return nil
+}
+
+func sessionID(session uint64) string { return fmt.Sprintf("%016x", session) }
+
+// sessionNumber reads what sessionID has written; 0 where it is something else.
+func sessionNumber(text string) uint64 {
+	if hexID(text) != nil {
+		return 0
+	}
+	n, err := strconv.ParseUint(text, 16, 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
--- a/internal/simwire/conf.go
+++ b/internal/simwire/conf.go
@@ -10,9 +10,10 @@
 
 // Conf is what the wire tells at a start; keys that are not listed here are skipped.
 type Conf struct {
-	Me        int    `json:"me"`
-	Directors int    `json:"balancers"`
-	Zone      string `json:"zone"`
+	Me        int      `json:"me"`
+	Directors int      `json:"balancers"`
+	Zone      string   `json:"zone"`
+	Zones     []string `json:"zones"`
 	Classes   []struct {
 		Name      string  `json:"name"`
 		Target    float64 `json:"target_s"`
@@ -44,6 +45,8 @@
 		MaxAttempts int     `json:"max_attempts"`
 		RetryAfter  bool    `json:"retry_after"`
 		MaxBackoff  float64 `json:"max_retry_after_s"`
+		Connect     float64 `json:"connect_timeout_s"`
+		Idle        float64 `json:"conn_idle_s"`
 	} `json:"permissions"`
 	Prices struct {
 		Crossing float64 `json:"cross_zone"`
@@ -88,15 +91,19 @@
 	return missing
 }
 
-// Director starts a director with what the wire told.
-func (c *Conf) Director(seed uint64) *policy.Director {
+// Ladder is the rungs.
+func (c *Conf) Ladder() policy.Ladder {
 	f := &c.Family
-	ladder := policy.Ladder{
-		Rates: f.Ladder, Worth: f.Worth, JoinAdds: 1,
-	}
+	ladder := policy.Ladder{Rates: f.Ladder, Worth: f.Worth, JoinAdds: 1}
 	if f.Join != nil {
 		ladder.JoinAdds = *f.Join
 	}
+	return ladder
+}
+
+// Tariffs are what sessions were promised, in the order of the classes.
+func (c *Conf) Tariffs() []policy.Tariff {
+	f := &c.Family
 	tariffs := make([]policy.Tariff, len(c.Classes))
 	for i, class := range c.Classes {
 		tariffs[i] = policy.Tariff{
@@ -105,6 +112,12 @@
 			Top: at(f.Top, i, len(f.Ladder)-1), Seats: at(f.Seats, i, 0), Live: at(f.Live, i, false),
 		}
 	}
+	return tariffs
+}
+
+// Director starts a director with what the wire told.
+func (c *Conf) Director(seed uint64) *policy.Director {
+	f := &c.Family
 	ramp := policy.Ramp{
 		Places: f.Places, Warmup: Span(c.Rules.Ramp), ColdFrom: c.Rules.ColdFrom,
 		Multiple: c.Rules.Multiple, TipAfter: Span(c.Rules.TipAfter),
@@ -116,7 +129,7 @@
 	if c.Permissions.RetryAfter {
 		backoff = Span(c.Permissions.MaxBackoff)
 	}
-	return policy.New(seed, policy.Peers{Me: c.Me, Directors: c.Directors, Zone: c.Zone}, tariffs, ladder,
+	return policy.New(seed, policy.Peers{Me: c.Me, Directors: c.Directors, Zone: c.Zone}, c.Tariffs(), c.Ladder(),
 		policy.Fleet{
 			Cells: f.Cells, Racks: f.Racks, LinkUnit: f.LinkUnit, Uplink: f.Uplink,
 			Crossing: c.Prices.Crossing, RefusesFrom: f.RefusesFrom,
@@ -132,20 +145,25 @@
 func (c *Conf) Load(report []float64) policy.Load {
 	load := policy.NoLoad
 	for i, v := range report {
-		switch at(c.Report.Fields, i, "") {
-		case "active":
-			load.Streams = v
-		case "x0":
+		Figure(&load, at(c.Report.Fields, i, ""), v)
+	}
+	return load
+}
+
+// Figure takes one figure of a report under the name that the settings give it; other names are skipped.
+func Figure(load *policy.Load, name string, v float64) {
+	switch name {
+	case "active":
+		load.Streams = v
+	case "x0":
+		load.Link = v
+	case "cpu":
+		if load.Link < 0 {
 			load.Link = v
-		case "cpu":
-			if load.Link < 0 {
-				load.Link = v
-			}
-		case "x1":
-			load.Uplink = v
 		}
+	case "x1":
+		load.Uplink = v
 	}
-	return load
 }
 
 var rosterKinds = map[string]policy.RosterKind{
--- /dev/null
+++ b/internal/transport/plain.go
@@ -0,0 +1,95 @@
+package transport
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/gobwas/ws"
+)
+
+// A Split tells how many bytes at the beginning of what has come are one whole message, 0 where it is not whole yet.
+// An error says that the bytes can't be read, now or ever: the connection is ended. It must give the same answers
+// however the bytes are cut, and looks at nothing but them.
+type Split func(in []byte) (size int, err error)
+
+// ServePlain is Serve for a protocol without a handshake that frames its messages itself. A peer knocks with its first
+// whole message, and until then counts as one whose handshake has not come: beyond Bounds.Pending the one that has
+// been silent for longest is reset, not the newcomer, and all are after Bounds.Handshake.
+func ServePlain(address string, split Split, bounds Bounds, handler Handler) (*Server, error) {
+	return serve(address, "", split, bounds, handler)
+}
+
+// DialPlain is Dial for a protocol without a handshake that frames its messages itself.
+func DialPlain(address string, within time.Duration, split Split, bounds Bounds, handler Handler) (*Conn, error) {
+	np, err := dial(netip.Addr{}, address, within)
+	if err != nil {
+		return nil, fmt.Errorf("connect to %s: %w", address, err)
+	}
+	np.SetWriteTimeout(bounds.Write)
+	c := &Conn{np: socket{np}, handler: handler, bounds: bounds, client: true, split: split, open: true, shook: true, fd: -1}
+	c.heard.Store(time.Now().UnixNano())
+	handler.Opened(c)
+	np.AddCloseCallback(c.closed)
+	np.SetOnRequest(c.read)
+	if !np.IsActive() { // it ended before the callback was there
+		c.closed(np)
+	} else {
+		c.writeAtOnce()
+	}
+	return c, nil
+}
+
+// closeLater is "try again later" of the registry of RFC 6455.
+const closeLater = ws.StatusCode(1013)
+
+// plain works through messages that the protocol frames itself and returns the incomplete rest.
+func (c *Conn) plain(in []byte) []byte {
+	for len(in) > 0 {
+		c.mu.Lock()
+		ended := c.why != nil
+		c.mu.Unlock()
+		if ended {
+			return nil
+		}
+		size, err := c.split(in)
+		if err == nil && (size > c.bounds.Message || size == 0 && len(in) > c.bounds.Message) {
+			err = fmt.Errorf("%w: over %d bytes", ErrTooLarge, c.bounds.Message)
+		}
+		if err != nil {
+			c.end(fmt.Errorf("%w: %w", ErrProtocol, err), ws.StatusProtocolError, err.Error())
+			return nil
+		}
+		if size == 0 {
+			return in
+		}
+		if !c.open {
+			c.open = true
+			c.cameWhole()
+			if gate, ok := c.handler.(Gate); ok {
+				gate.Knock(c)
+			} else {
+				c.handler.Opened(c)
+			}
+		}
+		message := append([]byte(nil), in[:size]...)
+		in = in[size:]
+		c.handler.Message(c, message)
+	}
+	return nil
+}
+
+// crowdOut resets the connection that has said nothing whole for longest.
+func (s *Server) crowdOut() {
+	var oldest *Conn
+	s.mu.Lock()
+	for c := range s.conns {
+		if !c.whole.Load() && (oldest == nil || c.came.Before(oldest.came)) {
+			oldest = c
+		}
+	}
+	s.mu.Unlock()
+	if oldest != nil {
+		oldest.Reset()
+	}
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -1,6 +1,7 @@
 // Package transport carries wire messages over WebSocket (RFC 6455) on netpoll: players', nodes' and the
 // list's connections alike, each with its own sub-protocol. It knows frames, sizes and queues, not what a
-// message means.
+// message means. Where a protocol frames its messages itself, a Split takes the place of WebSocket and all
+// else is shared: see plain.go.
 //
 // A connection costs no goroutine while nothing moves on it. What comes in is handed to the Handler on
 // netpoll's workers, one call at a time for each connection; Send may be called by any goroutine and never
@@ -122,7 +123,9 @@
 	np      carrier
 	handler Handler
 	bounds  Bounds
-	client  bool // this side dialled: it masks, its peer does not
+	client  bool  // this side dialled: it masks, its peer does not
+	split   Split // nil: WebSocket
+	came    time.Time
 	server  *Server
 	cookie  atomic.Value // the handler's own
 	number  atomic.Uint64
@@ -203,7 +206,7 @@
 }
 
 // Ping queues a ping.
-func (c *Conn) Ping() bool { return c.send(ws.OpPing, nil, 0) }
+func (c *Conn) Ping() bool { return c.split != nil || c.send(ws.OpPing, nil, 0) }
 
 func (c *Conn) send(op ws.OpCode, payload []byte, tag uint64) bool {
 	return c.put(frame{tag: tag, body: c.frame(op, payload)}, op == ws.OpClose)
@@ -211,6 +214,9 @@
 
 // frame puts a payload into a frame of its own.
 func (c *Conn) frame(op ws.OpCode, payload []byte) []byte {
+	if c.split != nil {
+		return payload
+	}
 	f := ws.NewFrame(op, true, payload)
 	if c.client {
 		f = ws.MaskFrame(f)
@@ -353,7 +359,11 @@
 		c.np.Close()
 		return
 	}
-	c.send(ws.OpClose, ws.NewCloseFrameBody(code, closeReason(reason)), 0)
+	var body []byte
+	if c.split == nil {
+		body = ws.NewCloseFrameBody(code, closeReason(reason))
+	}
+	c.send(ws.OpClose, body, 0)
 }
 
 // closeReason makes a text fit into a close frame: short enough, and UTF-8, which a peer may insist on (RFC 6455, 5.5.1)
@@ -489,6 +499,9 @@
 
 // consume works through what has come and returns the incomplete rest.
 func (c *Conn) consume(in []byte) []byte {
+	if c.split != nil {
+		return c.plain(in)
+	}
 	if !c.open {
 		c.mu.Lock()
 		waits := c.head != nil
@@ -613,6 +626,10 @@
 
 // Welcome answers a handshake that waits for the gate.
 func (c *Conn) Welcome() {
+	if c.split != nil {
+		c.handler.Opened(c)
+		return
+	}
 	c.mu.Lock()
 	head := c.head
 	c.head = nil
@@ -624,6 +641,10 @@
 
 // TurnAway answers a handshake that waits for the gate with 503 and a time to come back.
 func (c *Conn) TurnAway(retry time.Duration, why string) {
+	if c.split != nil {
+		c.Close(closeLater, why)
+		return
+	}
 	c.mu.Lock()
 	waits := c.head != nil
 	c.head = nil
@@ -695,6 +716,10 @@
 
 // Serve listens at an address and hands connections to the handler until Close.
 func Serve(address, protocol string, bounds Bounds, handler Handler) (*Server, error) {
+	return serve(address, protocol, nil, bounds, handler)
+}
+
+func serve(address, protocol string, split Split, bounds Bounds, handler Handler) (*Server, error) {
 	ln, err := netpoll.CreateListener("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen at %s: %w", address, err)
@@ -704,8 +729,13 @@
 	s.loop, err = netpoll.NewEventLoop(
 		func(ctx context.Context, np netpoll.Connection) error { return ctx.Value(key{}).(*Conn).read(ctx, np) },
 		netpoll.WithOnPrepare(func(np netpoll.Connection) context.Context {
-			c := &Conn{np: socket{np}, handler: handler, bounds: bounds, server: s, fd: -1}
-			if n := s.pending.Add(1); s.refusing.Load() || bounds.Pending > 0 && int(n) > bounds.Pending {
+			c := &Conn{np: socket{np}, handler: handler, bounds: bounds, server: s, split: split, shook: split != nil, came: time.Now(), fd: -1}
+			n := s.pending.Add(1)
+			if split != nil && bounds.Pending > 0 && int(n) > bounds.Pending {
+				s.crowdOut()
+				n = 0
+			}
+			if s.refusing.Load() || bounds.Pending > 0 && int(n) > bounds.Pending {
 				s.pending.Add(-1)
 				c.server = nil
 				if f, ok := np.(netpoll.Conn); ok {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -74,10 +74,17 @@
 	Accepted = "accepted" // node: it plays
 	Full     = "full"     // node: turned away unseen; the leg never ran
 	Failed   = "failed"   // node: the set-up failed; it may have run
+	Unsent   = "unsent"   // node: the set-up never left for it; the leg never ran
 	Ended    = "ended"    // node: the session has ended
 	Note     = "note"     // node: news of a session, by kind
 )
 
+// Why a session has ended, where more is to be said than that it has.
+const (
+	Lost      = "lost"       // its node or the connection to it
+	CalledOff = "called off" // by its viewer, or moved
+)
+
 // Node is a message between a director and a node.
 type Node struct {
 	Type     string  `json:"t"`
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -18,6 +18,10 @@
 	Ping   time.Duration // a connected node is asked for a sign of life so often
 }
 
+// deadAfter is how many tries in a row must fail until a node that refuses none is taken for dead. It guards what
+// plays there against one that is lost on the way.
+const deadAfter = 3
+
 // missed is how many signs of life a node may owe before its connection is given up.
 const missed = 3
 
@@ -39,13 +43,16 @@
 	Failed               // a try failed
 	Lost                 // a connection that was made has ended
 	Heard                // something came from the node, so long ago
+	Refused              // a try failed, and the machine itself has said that nothing runs there
+	Doubted              // the connection that was made may lead nowhere: it is checked by making another
 	Ring                 // the time that was asked for has come
 )
 
-// Plan is what is to be done: connect to these nodes now, give the connection up to the one that was told
-// of, and ring at a time (0: no need).
+// Plan is what is to be done: connect to these nodes now, take these for dead, give the connection up to the one
+// that was told of, and ring at a time (0: no need).
 type Plan struct {
 	Dial   []int
+	Dead   []int
 	GiveUp bool
 	Ring   time.Duration
 }
@@ -82,7 +89,7 @@
 
 // Step takes what happened at a time and returns what is to be done. The plan is valid until the next call.
 func (r *Reach) Step(now time.Duration, e Event) Plan {
-	r.plan = Plan{Dial: r.plan.Dial[:0]}
+	r.plan = Plan{Dial: r.plan.Dial[:0], Dead: r.plan.Dead[:0]}
 	n := r.nodes[e.Node]
 	if e.What == Heard { // a connection may die without a word; nothing else follows from it
 		r.plan.GiveUp = n != nil && n.state == made && e.Ago > missed*r.pace.Ping
@@ -111,9 +118,16 @@
 		if n.drop {
 			delete(r.nodes, e.Node)
 		}
-	case e.What == Failed && n.state == trying:
+	case e.What == Doubted && n.state == made:
+		n.state = trying
+		r.outs++
+		r.plan.Dial = append(r.plan.Dial, e.Node)
+	case (e.What == Failed || e.What == Refused) && n.state == trying:
 		r.outs--
 		n.state = idle
+		if e.What == Refused || n.fails+1 >= deadAfter {
+			r.plan.Dead = append(r.plan.Dead, e.Node)
+		}
 		if n.drop {
 			delete(r.nodes, e.Node)
 		} else {
