A handed-over session may name any waiting time; every message can be traced

Ruled out before: a node that is not known (no line in the log), a missing description. The bound now holds for requests alone.

--- a/cmd/fordusher/platform.go
+++ b/cmd/fordusher/platform.go
@@ -15,7 +15,9 @@
 	"fordusher/internal/platform"
 )
 
-type platformCommand struct{}
+type platformCommand struct {
+	Trace bool `help:"Write every message that crosses the sockets to standard error, a line each."`
+}
 
 // The part of the memory limit that the collector keeps to: the rest is for what is not its own.
 const heapPart = 0.6
@@ -44,7 +46,12 @@
 	defer lines.Close(time.Second)
 	log := logger(lines)
 	house := posting.House(time.Now())
-	front := platform.NewFront(posting, house, time.Now)
+	var front daemon.Front = platform.NewFront(posting, house, time.Now)
+	if c.Trace {
+		stop := make(chan struct{})
+		defer close(stop)
+		front = platform.Traced(front, os.Stderr, time.Now, stop)
+	}
 	d, err := daemon.StartAt(front, house, strconv.FormatInt(time.Now().UnixMilli(), 36), seed, posting.Module(seed), log)
 	if err != nil {
 		return err
--- a/internal/director/loose.go
+++ b/internal/director/loose.go
@@ -77,7 +77,9 @@
 		phase: playing, answered: true, stop: l.now,
 	}
 	if !known || b.Wrong != "" || n == nil {
-		l.counts.Broken++
+		if l.counts.Broken++; l.counts.Broken == 1 {
+			l.log("a session was handed over that can't be held: node %q, tariff %q, %s; further ones are only counted", b.Playing, m.Tariff, b.Wrong)
+		}
 		l.tellOver(s, "its node is not known")
 		return
 	}
--- a/internal/platform/viewers.go
+++ b/internal/platform/viewers.go
@@ -172,7 +172,7 @@
 			return hexID(s.title)
 		case codeWait:
 			s.hasWait = true
-			s.wait, err = whole(string(value), 1, waitMost)
+			s.wait, err = whole(string(value), 1, math.MaxInt64)
 			return err
 		case codeHint:
 			s.hint, err = strconv.ParseFloat(string(value), 64)
@@ -189,10 +189,12 @@
 	})
 	switch {
 	case err != nil:
-	case s.class == "" || s.title == "" || !s.hasFigure || s.description == nil:
-		err = errors.New("class, title, place and description are not all there")
-	case !s.hasWait && s.at == "":
-		err = errors.New("it is not said how long the viewer waits")
+	case s.class == "" || s.title == "" || !s.hasFigure:
+		err = errors.New("class, title and place are not all there")
+	case s.at == "" && (s.description == nil || !s.hasWait):
+		err = errors.New("there is no description, or it is not said how long the viewer waits")
+	case s.at == "" && s.wait > waitMost: // a session that plays waits for nothing, and may say any number
+		err = errors.New("no viewer waits so long")
 	}
 	return s, err
 }
