A node that the list takes off without a connection has lost what played there

Ruled out: the connection chosen for the ending (all 685 went out on the one they came on), delay (9 ms at most after the node's release). Cause: unlist() of a node without a connection ends reach's tries for it, so nobody ever calls it dead (nodes.go); and a refusal was never told from other failures, netpoll's dial words it 'closed by peer' (transport, plain.go), so death took three tries and lost the race with the list. Now unlisting without a connection is the end, whoever answers at the address of a node that is gone is hung up on, and the dial goes by the standard library. Tests for both failed before; a drawn test of the loop's rules where what plays belongs to no connection.

--- a/internal/director/account.go
+++ b/internal/director/account.go
@@ -612,6 +612,7 @@
 		}
 		l.unhand(s)
 	}
+	l.dropLink(g.node)
 	l.tell(policy.Accepted{ID: s.id})
 	// A node that reports tells with the answer what is asked of its link and uplink now.
 	if load != nil && load.Link != nil {
--- /dev/null
+++ b/internal/director/loose_test.go
@@ -0,0 +1,454 @@
+package director
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"fordusher/internal/wire"
+)
+
+// newLoose is a stage where what plays belongs to no connection.
+func newLoose(t failer, nodes int) *stage {
+	s := newStage(t, nodes)
+	s.loop.manners.Loose, s.loop.manners.Greetless, s.loop.manners.Linger = true, true, 0
+	return s
+}
+
+// asks is a request under its session's own name.
+func (s *stage) asks(conn uint64, id, tariff string) {
+	s.t.Helper()
+	s.do(PlayerSaid{Conn: conn, Message: wire.Session{Type: wire.Want, ID: id, Key: id, Tariff: tariff, Title: "t", Wait: 5000},
+		Brought: &Brought{Base: 0, Copies: 8, Description: []byte("as it came")}})
+}
+
+// says is what a node says of a session on a connection.
+func says(link uint64, session, kind string) LinkSaid {
+	return LinkSaid{Link: link, Message: wire.Node{Type: kind, Session: session}, Description: []byte("as the node has it")}
+}
+
+// plays sets a session up on the only node.
+func (s *stage) plays(id, tariff string) TellNode {
+	s.t.Helper()
+	s.forget()
+	s.asks(1, id, tariff)
+	g := s.oneLeg()
+	s.do(says(g.Link, id, wire.Accepted))
+	s.oneAnswer(wire.Plays)
+	s.forget()
+	return g
+}
+
+func TestDescriptionsCrossUnchanged(t *testing.T) {
+	s := newLoose(t, 1)
+	s.asks(1, "a", "clip")
+	g := s.oneLeg()
+	if string(g.Description) != "as it came" || g.Message.Session != "a" {
+		t.Fatalf("%+v", g)
+	}
+	s.do(says(g.Link, "a", wire.Accepted))
+	for _, o := range s.out {
+		if m, ok := o.(TellPlayer); ok && string(m.Description) != "as the node has it" {
+			t.Fatalf("%+v", m)
+		}
+	}
+	s.oneAnswer(wire.Plays)
+}
+
+func TestWhatPlaysOutlivesItsConnections(t *testing.T) {
+	s := newLoose(t, 1)
+	g := s.plays("a", "clip")
+	s.enter(2)
+	s.do(PlayerClosed{1})
+	s.do(LinkLost{Link: g.Link})
+	if len(s.told(wire.Over)) != 0 || s.loop.playing != 1 {
+		t.Fatal("it ended with a connection")
+	}
+	s.do(LinkMade{name(0), s.links[name(0)]})
+	s.do(says(s.links[name(0)], "a", wire.Ended))
+	if over := s.told(wire.Over); len(over) != 1 || over[0].ID != "a" || over[0].Why != WhyEnded {
+		t.Fatalf("%+v", over)
+	}
+	s.empty()
+}
+
+// It guards the ending of a session that no viewer's connection is there for.
+func TestAnEndingWaitsForAConnection(t *testing.T) {
+	s := newLoose(t, 1)
+	g := s.plays("a", "clip")
+	s.do(PlayerClosed{1})
+	s.do(says(g.Link, "a", wire.Ended))
+	if len(s.told(wire.Over)) != 0 {
+		t.Fatal("told to nobody")
+	}
+	s.enter(2)
+	if len(s.told(wire.Over)) != 1 {
+		t.Fatal("not told")
+	}
+	g = s.plays2(2, "b")
+	s.do(PlayerClosed{2})
+	s.do(says(g.Link, "b", wire.Ended))
+	s.now += untoldFor
+	s.enter(3)
+	if len(s.told(wire.Over)) != 0 || len(s.loop.untold) != 0 {
+		t.Fatal("kept for too long")
+	}
+}
+
+func (s *stage) plays2(conn uint64, id string) TellNode {
+	s.t.Helper()
+	s.forget()
+	s.asks(conn, id, "clip")
+	g := s.oneLeg()
+	s.do(says(g.Link, id, wire.Accepted))
+	s.forget()
+	return g
+}
+
+func TestARefusedConnectionEndsWhatPlays(t *testing.T) {
+	s := newLoose(t, 1)
+	g := s.plays("a", "clip")
+	s.do(LinkLost{Link: g.Link})
+	s.do(LinkFailed{Node: name(0), Link: s.links[name(0)], Refused: true})
+	if over := s.told(wire.Over); len(over) != 1 {
+		t.Fatalf("%+v", over)
+	}
+	s.empty()
+}
+
+// One try that fails proves nothing: it may be lost on the way.
+func TestSeveralFailuresEndWhatPlays(t *testing.T) {
+	s := newLoose(t, 1)
+	g := s.plays("a", "clip")
+	s.do(LinkLost{Link: g.Link})
+	for i := range 3 {
+		if len(s.told(wire.Over)) != 0 {
+			t.Fatalf("ended after %d tries", i)
+		}
+		s.pass(2 * time.Second)
+		s.do(LinkFailed{Node: name(0), Link: s.links[name(0)]})
+	}
+	if len(s.told(wire.Over)) != 1 {
+		t.Fatal("it is held to play for ever")
+	}
+	s.empty()
+}
+
+// It guards sessions on a machine that vanishes: its connections stay open and say nothing.
+func TestAConnectionWithoutAnAnswerIsChecked(t *testing.T) {
+	s := newLoose(t, 1)
+	g := s.plays("a", "clip")
+	s.asks(1, "b", "clip")
+	s.pass(500 * ms) // past the time of a leg
+	if s.links[name(0)] == g.Link {
+		t.Fatal("it was not checked")
+	}
+	s.forget()
+	s.asks(1, "c", "clip")
+	if len(s.setups()) != 0 {
+		t.Fatal("a set-up was sent on a connection in doubt")
+	}
+	s.do(LinkFailed{Node: name(0), Link: s.links[name(0)]})
+	hung := false
+	for _, o := range s.all {
+		if h, ok := o.(HangUp); ok && h.Link == g.Link {
+			hung = true
+		}
+	}
+	if !hung {
+		t.Fatal("the connection in doubt was kept")
+	}
+}
+
+func TestACheckedConnectionTakesTheOthersPlace(t *testing.T) {
+	s := newLoose(t, 1)
+	g := s.plays("a", "clip")
+	s.asks(1, "b", "exam") // paid: it waits
+	s.asks(1, "c", "clip")
+	s.pass(500 * ms)
+	check := s.links[name(0)]
+	s.do(LinkMade{name(0), check})
+	s.forget()
+	s.do(says(check, "b", wire.Accepted)) // not on the connection that it was sent on
+	if len(s.answers()) != 0 {
+		t.Fatal("an answer on another connection was taken")
+	}
+	s.do(says(g.Link, "b", wire.Accepted))
+	s.oneAnswer(wire.Plays)
+	hung := false
+	for _, o := range s.all {
+		if h, ok := o.(HangUp); ok && h.Link == g.Link {
+			hung = true
+		}
+	}
+	if !hung {
+		t.Fatal("the old connection is kept though nothing waits on it")
+	}
+	s.do(says(check, "a", wire.Ended))
+	if len(s.told(wire.Over)) != 1 {
+		t.Fatal("an ending on the new connection was not taken")
+	}
+}
+
+func TestAnIdInUseIsNobodyElses(t *testing.T) {
+	s := newLoose(t, 1)
+	s.enter(2)
+	s.forget()
+	s.asks(1, "a", "clip")
+	g := s.oneLeg()
+	s.asks(1, "a", "exam")
+	s.asks(2, "a", "clip")
+	s.do(PlayerSaid{Conn: 2, Message: wire.Session{Type: wire.Leave, ID: "a"}})
+	if len(s.setups()) != 1 || len(s.ends()) != 0 {
+		t.Fatal("the first request noticed")
+	}
+	if told := s.answers(); len(told) != 1 || told[0].Type != wire.Errored {
+		t.Fatalf("%+v", told)
+	}
+	s.forget()
+	s.do(says(g.Link, "a", wire.Accepted))
+	s.do(says(g.Link, "a", wire.Accepted))
+	s.oneAnswer(wire.Plays)
+}
+
+func TestSessionsThatAreHandedOver(t *testing.T) {
+	s := newLoose(t, 1)
+	hand := func(id, node string) {
+		s.do(PlayerSaid{Conn: 1, Message: wire.Session{Type: wire.Want, ID: id, Key: id, Tariff: "exam", Title: "t"},
+			Brought: &Brought{Copies: 8, Playing: node}})
+	}
+	hand("a", name(0))
+	hand("a", name(0)) // told again
+	if s.loop.playing != 1 || len(s.answers()) != 0 {
+		t.Fatal("not held, or answered")
+	}
+	hand("b", "nobody")
+	if over := s.told(wire.Over); len(over) != 1 || over[0].ID != "b" {
+		t.Fatalf("%+v", over)
+	}
+	s.do(PlayerSaid{Conn: 1, Message: wire.Session{Type: wire.Leave, ID: "a"}})
+	if len(s.ends()) != 1 {
+		t.Fatal("its node was not told")
+	}
+	s.empty()
+}
+
+func TestANodeThatStartsAnewHasLostWhatPlayed(t *testing.T) {
+	s := newLoose(t, 1)
+	g := s.plays("a", "clip")
+	s.now += time.Second
+	e := up(0)
+	e.Start, e.Age = 99, 100
+	s.do(ListSaid{wire.List{Type: wire.Update, Nodes: []wire.Entry{e}}})
+	if len(s.told(wire.Over)) != 1 || s.links[name(0)] == g.Link {
+		t.Fatal("it is held to play, or its connection is kept")
+	}
+	s.empty()
+}
+
+// It guards sessions on a node that the list takes off while there is no connection to it: they were held to play for
+// ever, and their viewers never told (199 on one long day).
+func TestANodeThatGoesWithoutAConnectionHasLostWhatPlayed(t *testing.T) {
+	s := newLoose(t, 1)
+	g := s.plays("a", "clip")
+	s.do(LinkLost{Link: g.Link})
+	gone := up(0)
+	gone.State = wire.Removed
+	s.do(ListSaid{wire.List{Type: wire.Update, Nodes: []wire.Entry{gone}}})
+	if len(s.told(wire.Over)) != 1 {
+		t.Fatal("it is held to play")
+	}
+	s.do(LinkMade{name(0), s.links[name(0)]}) // somebody else, at its address
+	s.empty()
+	if len(s.loop.nodes) != 0 || len(s.loop.links) != 0 {
+		t.Fatal("a node that is gone is kept")
+	}
+}
+
+// What is to be told to a node without a connection goes by the next one.
+func TestWordsForANodeWaitForItsConnection(t *testing.T) {
+	s := newLoose(t, 1)
+	g := s.plays("a", "clip")
+	s.do(LinkLost{Link: g.Link})
+	s.do(PlayerSaid{Conn: 1, Message: wire.Session{Type: wire.Leave, ID: "a"}})
+	if len(s.ends()) != 0 {
+		t.Fatal("told on no connection")
+	}
+	s.do(LinkMade{name(0), s.links[name(0)]})
+	if len(s.ends()) != 1 {
+		t.Fatal("never told")
+	}
+	s.empty()
+}
+
+// Whatever happens in whatever order: one answer each, one leg out at a time, a paid set-up never sent again unless
+// all before provably never ran, an ending told once and only after an answer, and nothing left on the books.
+func TestLooseRulesHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newLoose(t, 3)
+		s.enter(2)
+		s.forget()
+		type want struct {
+			tariff    string
+			conn      uint64
+			answers   int
+			over      int
+			out       int // legs out
+			mayHave   bool
+			plays     bool
+			abandoned bool
+		}
+		wants := map[string]*want{}
+		var ids []string
+		sent := map[string]TellNode{}
+		look := func() {
+			for _, o := range s.out {
+				switch o := o.(type) {
+				case TellNode:
+					w := wants[o.Message.Session]
+					switch o.Message.Type {
+					case wire.Setup:
+						if w.out++; w.out > 1 {
+							t.Fatalf("two legs of %s: %+v then %+v, %+v", o.Message.Session, sent[o.Message.Session], o, w)
+						}
+						if w.mayHave && w.tariff == "exam" {
+							t.Fatalf("paid %s sent again", o.Message.Session)
+						}
+						sent[o.Message.Session] = o
+					case wire.End:
+						if w.out > 0 {
+							w.out, w.mayHave = 0, true
+						}
+					}
+				case TellPlayer:
+					w := wants[o.Message.ID]
+					switch o.Message.Type {
+					case wire.Plays:
+						w.answers++
+						w.plays = true
+					case wire.Nack:
+						if w.mayHave && w.tariff == "exam" {
+							t.Fatalf("paid %s nacked though it may have run", o.Message.ID)
+						}
+						w.answers++
+					case wire.Errored:
+						w.answers++
+					case wire.Over:
+						if w.over++; w.over > 1 || !w.plays {
+							t.Fatalf("%s: told over %d times, plays %v", o.Message.ID, w.over, w.plays)
+						}
+					}
+					if w.answers > 1 {
+						t.Fatalf("%s: %d answers", o.Message.ID, w.answers)
+					}
+				}
+			}
+		}
+		do := func(in Input) {
+			s.do(in)
+			look()
+		}
+		conns := uint64(2)
+		open := map[uint64]bool{1: true, 2: true}
+		for range rapid.IntRange(5, 80).Draw(t, "steps") {
+			id := ""
+			if len(ids) > 0 {
+				id = rapid.SampledFrom(ids).Draw(t, "id")
+			}
+			g, w := sent[id], wants[id]
+			node := name(rapid.IntRange(0, 2).Draw(t, "node"))
+			switch k := rapid.IntRange(0, 12).Draw(t, "what"); {
+			case k <= 2:
+				id = fmt.Sprint("s", len(ids))
+				conn := rapid.SampledFrom([]uint64{1, 2, conns}).Draw(t, "conn")
+				if !open[conn] {
+					continue
+				}
+				ids = append(ids, id)
+				wants[id] = &want{tariff: rapid.SampledFrom([]string{"clip", "exam"}).Draw(t, "tariff"), conn: conn}
+				s.asks(conn, id, wants[id].tariff)
+				look()
+			case k <= 4 && w != nil && g.Link != 0:
+				do(says(g.Link, id, wire.Accepted))
+				if w.out > 0 {
+					w.mayHave = true
+				}
+			case k == 5 && w != nil && w.out == 1 && !w.plays:
+				w.out = 0
+				do(says(g.Link, id, wire.Full))
+			case k == 6 && w != nil && w.out == 1 && !w.plays:
+				w.out, w.mayHave = 0, true
+				do(says(g.Link, id, wire.Failed))
+			case k == 7 && w != nil && w.plays:
+				do(says(s.links[node], id, wire.Ended))
+			case k == 8:
+				link := s.links[node]
+				for id, g := range sent {
+					if w := wants[id]; g.Link == link && w.out == 1 && !w.plays {
+						w.out, w.mayHave = 0, true
+					}
+				}
+				if s.loop.links[link] != nil && s.loop.links[link].up && s.loop.links[link].link == link {
+					do(LinkLost{Link: link})
+				}
+			case k == 9:
+				if n := s.loop.links[s.links[node]]; n != nil && n.trying {
+					if rapid.Bool().Draw(t, "made") {
+						do(LinkMade{node, s.links[node]})
+					} else {
+						link := n.link
+						for id, g := range sent {
+							if w := wants[id]; g.Link == link && w.out == 1 && !w.plays {
+								w.out, w.mayHave = 0, true
+							}
+						}
+						do(LinkFailed{Node: node, Link: s.links[node], Refused: rapid.Bool().Draw(t, "refused")})
+					}
+				}
+			case k == 10:
+				conn := rapid.SampledFrom([]uint64{1, 2, conns}).Draw(t, "closed")
+				if open[conn] {
+					delete(open, conn)
+					do(PlayerClosed{conn})
+					conns++
+					open[conns] = true
+					do(PlayerKnocked{Conn: conns})
+					do(PlayerOpened{conns})
+				}
+			case k == 11 && w != nil && open[w.conn]:
+				do(PlayerSaid{Conn: w.conn, Message: wire.Session{Type: wire.Leave, ID: id}})
+			default:
+				end := s.now + time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms"))*ms
+				for next := s.loop.Next(); next <= end; next = s.loop.Next() {
+					s.now = max(s.now, next)
+					do(Tick{})
+				}
+				s.now = end
+			}
+		}
+		for _, id := range ids { // what plays ends, what does not runs out of time
+			if !wants[id].plays {
+				continue
+			}
+			do(says(s.links[name(0)], id, wire.Ended))
+			do(says(s.links[name(1)], id, wire.Ended))
+			do(says(s.links[name(2)], id, wire.Ended))
+		}
+		for range 100 {
+			s.now += 50 * ms
+			do(Tick{})
+		}
+		l := s.loop
+		if l.owed != 0 || l.counts.OddMove != 0 || len(l.sessions) != l.playing || len(l.keys) != l.playing || len(l.legs) != l.playing {
+			t.Fatalf("left: %d owed, %d odd, %d sessions, %d keys, %d legs, %d play", l.owed, l.counts.OddMove, len(l.sessions),
+				len(l.keys), len(l.legs), l.playing)
+		}
+		for conn, c := range l.conns {
+			if len(c.requests) != 0 || c.live != 0 {
+				t.Fatalf("connection %d keeps %d requests, %d live", conn, len(c.requests), c.live)
+			}
+		}
+	})
+}
--- a/internal/director/nodes.go
+++ b/internal/director/nodes.go
@@ -92,6 +92,12 @@
 	if n.check == e.Link {
 		l.replaceLink(n)
 	}
+	if !n.listed && l.manners.Loose { // whoever answers there now is somebody else
+		l.do(HangUp{e.Link})
+		l.linkFailed(LinkFailed{Node: e.Node, Link: e.Link})
+		l.dead(n)
+		return
+	}
 	n.trying, n.up, n.greeted, n.made = false, true, l.manners.Greetless, l.now
 	if l.ping > 0 {
 		n.ping = l.timers.Add(l.now+l.ping, due{timerPing, e.Link})
@@ -480,6 +486,7 @@
 		n.listed = false
 		if !n.up { // else once the connection ends
 			l.reached(reach.Event{Node: n.place, What: reach.Unlisted})
+			l.dead(n)
 		}
 	}
 }
--- a/internal/transport/plain.go
+++ b/internal/transport/plain.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
-	"net/netip"
+	"net"
 	"time"
 
+	"github.com/cloudwego/netpoll"
 	"github.com/gobwas/ws"
+	"golang.org/x/sys/unix"
 )
 
 // A Split tells how many bytes at the beginning of what has come are one whole message, 0 where it is not whole yet.
@@ -22,7 +24,7 @@
 
 // DialPlain is Dial for a protocol without a handshake that frames its messages itself.
 func DialPlain(address string, within time.Duration, split Split, bounds Bounds, handler Handler) (*Conn, error) {
-	np, err := dial(netip.Addr{}, address, within)
+	np, err := dialPlain(address, within)
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", address, err)
 	}
@@ -40,6 +42,33 @@
 	return c, nil
 }
 
+// dialPlain connects by way of the standard library, which tells a refusal from other failures; netpoll does not.
+func dialPlain(address string, within time.Duration) (netpoll.Connection, error) {
+	c, err := net.DialTimeout("tcp", address, within)
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	var fd int
+	var dup error
+	if err := raw.Control(func(f uintptr) { fd, dup = unix.FcntlInt(f, unix.F_DUPFD_CLOEXEC, 0) }); err != nil {
+		return nil, err
+	}
+	if dup != nil {
+		return nil, dup
+	}
+	np, err := netpoll.NewFDConnection(fd)
+	if err != nil {
+		unix.Close(fd)
+		return nil, err
+	}
+	return np, nil
+}
+
 // closeLater is "try again later" of the registry of RFC 6455.
 const closeLater = ws.StatusCode(1013)
 
--- /dev/null
+++ b/internal/transport/plain_test.go
@@ -0,0 +1,126 @@
+package transport
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// byLine is the smallest protocol that frames itself: a message is a byte that tells how long it is, and the rest.
+func byLine(in []byte) (int, error) {
+	switch {
+	case len(in) == 0:
+		return 0, nil
+	case in[0] == 0:
+		return 0, errors.New("no length")
+	case len(in) < int(in[0]):
+		return 0, nil
+	}
+	return int(in[0]), nil
+}
+
+type heardPlain struct {
+	mu     sync.Mutex
+	opened int
+	said   []string
+	closed int
+	echo   bool
+}
+
+func (h *heardPlain) Opened(*Conn) { h.mu.Lock(); h.opened++; h.mu.Unlock() }
+func (h *heardPlain) Message(c *Conn, m []byte) {
+	h.mu.Lock()
+	h.said = append(h.said, string(m))
+	h.mu.Unlock()
+	if h.echo {
+		c.Send(m, 0)
+	}
+}
+func (h *heardPlain) Closed(*Conn, error, []uint64) { h.mu.Lock(); h.closed++; h.mu.Unlock() }
+
+func (h *heardPlain) wait(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		h.mu.Lock()
+		done := ok()
+		h.mu.Unlock()
+		if done {
+			return
+		}
+	}
+	t.Fatal(what)
+}
+
+var plainBounds = Bounds{Message: 64, Queue: 1 << 10, Write: time.Second, Handshake: 200 * time.Millisecond, Pending: 3}
+
+func TestPlainMessagesCrossWhole(t *testing.T) {
+	h := &heardPlain{echo: true}
+	s, err := ServePlain("127.0.0.1:0", byLine, plainBounds, h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	back := &heardPlain{}
+	c, err := DialPlain(s.Address(), time.Second, byLine, plainBounds, back)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Send([]byte("\x03ab\x02"), 0)
+	c.Send([]byte("c"), 0)
+	back.wait(t, "not both came back", func() bool { return len(back.said) == 2 && back.said[1] == "\x02c" })
+	c.Close(1000, "")
+	h.wait(t, "not closed", func() bool { return h.closed == 1 && h.opened == 1 })
+}
+
+// A refusal must be told from a machine that says nothing: it proves that nothing runs there.
+func TestARefusedConnectionIsTold(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := ln.Addr().String()
+	ln.Close()
+	if _, err := DialPlain(address, time.Second, byLine, plainBounds, &heardPlain{}); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Fatalf("%v", err)
+	}
+}
+
+func TestPlainConnectionsThatSayNothing(t *testing.T) {
+	h := &heardPlain{}
+	s, err := ServePlain("127.0.0.1:0", byLine, plainBounds, h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	began := time.Now()
+	var silent []net.Conn
+	for range 4 { // one more than may be silent: the first makes room
+		c, err := net.Dial("tcp", s.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		silent = append(silent, c)
+		time.Sleep(5 * time.Millisecond)
+	}
+	ended := func(c net.Conn) time.Duration {
+		c.SetReadDeadline(time.Now().Add(5 * time.Second))
+		c.Read(make([]byte, 1))
+		return time.Since(began)
+	}
+	if first := ended(silent[0]); first > plainBounds.Handshake {
+		t.Fatalf("the first made no room before %v", first)
+	}
+	silent[1].Write([]byte("\x02a"))
+	h.wait(t, "the message did not come", func() bool { return len(h.said) == 1 })
+	if at := ended(silent[2]); at < plainBounds.Handshake/2 || at > 3*time.Second {
+		t.Fatalf("silent for %v", at)
+	}
+	silent[1].Write([]byte("\x00"))
+	if ended(silent[1]) > 5*time.Second {
+		t.Fatal("what can't be read did not end the connection")
+	}
+}
