An error counts against a node once a second word speaks against it

By a trace: 111 answers of 500 came for 37 requests that look like any other (well formed, known class and title), each refused by all its three holders; nothing at the door tells them apart, so the door was ruled out. policy.go, result(): every error was held against its node at once. Now a free session's error is held against the first node if the next accepts it, against neither if that errs too; one that no other node has a word on, a paid one above all, if the node's last such one erred as well.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -136,6 +136,9 @@
 // giveUp answers a session that can't be set up: a nack where nothing paid may have run.
 func (d *Director) giveUp(i int) {
 	s := &d.sessions[i]
+	if e, ok := d.names.find(s.errorAt); ok {
+		d.alone(&d.nodes[e], s)
+	}
 	if s.ran && d.rungs.tariffs[s.Tariff].Paid {
 		d.do(Fail{s.ID})
 	} else {
@@ -154,6 +157,10 @@
 	d.plays(s)
 	n := &d.nodes[s.node]
 	n.outs--
+	n.errors = 0
+	if e, ok := d.names.find(s.errorAt); ok { // what one node failed at, another did: it was not the session
+		d.symptom(&d.nodes[e], s, Errored)
+	}
 	if n.doubted >= 0 { // it runs, and is warm a warm-up from now at the latest
 		n.doubted, n.warmAt = -1, d.now+d.warmth.ramp.Warmup
 	}
@@ -184,7 +191,11 @@
 		}
 		e.Load.Streams = min(e.Load.Streams, queues*d.warmth.places(n))
 		d.gauge.report(n, e.Load)
-		if e.Outcome != Served && e.Outcome != Cancelled && e.Outcome != Moot {
+		switch e.Outcome {
+		case Served, Cancelled, Moot:
+		case Errored:
+			d.errored(n, s)
+		default:
 			d.symptom(n, s, e.Outcome)
 		}
 		s.tried = append(s.tried, s.node)
@@ -775,6 +786,30 @@
 	return false
 }
 
+// errored holds an error against its node once there is a second word on it: a free session's against the
+// first node if the next one accepts it, against neither if that errs as well. It guards the health of all
+// nodes against requests that none can serve, of a client that means harm or is broken.
+func (d *Director) errored(n *node, s *session) {
+	switch {
+	case s.phase == playing:
+		d.symptom(n, s, Errored)
+	case d.rungs.tariffs[s.Tariff].Paid:
+		d.alone(n, s)
+	case !s.erred:
+		s.errorAt = n.name
+	default:
+		s.errorAt = ""
+	}
+	s.erred = true
+}
+
+// alone holds an error that no other node has a word on against its node if the last such one was there too.
+func (d *Director) alone(n *node, s *session) {
+	if n.errors++; n.errors > 1 {
+		d.symptom(n, s, Errored)
+	}
+}
+
 // symptom holds a leg's end, or its long silence, against the node.
 func (d *Director) symptom(n *node, s *session, o Outcome) {
 	s.suspected = true
--- a/policy/state.go
+++ b/policy/state.go
@@ -26,7 +26,9 @@
 	tried     []int // nodes of earlier legs; at most Legs.Most
 	sent      time.Duration
 	started   time.Duration
-	suspected bool // this leg has already been held against its node
+	suspected bool   // this leg has already been held against its node
+	erred     bool   // a leg of it has ended with an error
+	errorAt   string // the node of the first that did, until there is a second word on it
 	rung      int
 	switched  time.Duration
 	scored    time.Duration
@@ -99,6 +101,7 @@
 	size       float64 // link, kB a second
 	legs       int     // of this director, set-ups and sessions
 	outs       int     // of these, set-ups
+	errors     int     // that no other node had a word on, since it last accepted a session
 	own        float64 // kB a second booked by this director
 	use        meter
 	learnt     time.Duration // when its figure last counted in what is usual
