--- a/internal/platform/start.go
+++ b/internal/platform/start.go
@@ -202,7 +202,7 @@
 	if every := simwire.Span(t.Family.Every); every > 0 { // a node with sessions is heard so often
 		h.Pace.Ping = (every + time.Second) / 3
 	}
-	h.Term = closing.Term{Within: 2500 * time.Millisecond, Slice: 250 * time.Millisecond, Least: time.Second}
+	h.Term = closing.Term{Within: p.closeWithin(), Slice: 200 * time.Millisecond, Least: time.Second}
 	sockets := p.Limits.Sockets
 	if sockets == 0 {
 		sockets = 1024
@@ -241,6 +241,16 @@
 	return h
 }
 
+// closeWithin is how long a director that is told to stop may take: it is killed no sooner than the longest hard stop,
+// at most 3 s, and 700 ms after that.
+func (p *Posting) closeWithin() time.Duration {
+	var longest time.Duration
+	for _, x := range p.trade.Tariffs() {
+		longest = max(longest, x.HardStop)
+	}
+	return min(longest, 3*time.Second) + 300*time.Millisecond
+}
+
 func (e target) entry(now time.Time) wire.Entry {
 	state, known := stateNames[e.State]
 	if !known {
