Bars for raising go up with the part of what is asked that is the director's own

Ruled out: late figures (every node's is there within 2 s), the socket work. So the bars go up with the director's own part of what is asked.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -24,6 +24,7 @@
 	spareTo        = 0.75 // a higher one up to here
 	downTo         = 0.85 // what is over full is stepped down to here
 	keepTo         = 1.0  // and a rung in force is kept up to here;
+	ownLean        = 0.2  // a director that holds all that is asked newly takes so much more,
 	creditLean     = 0.1  // the tariffs of most and least credit lie this far apart in all four
 	dropUnder      = 0.75 // share delivered
 	shortUnder     = 0.98 // share delivered
@@ -403,7 +404,7 @@
 // same figure are counted on to do the same.
 func (d *Director) fitting(s *session, n *node, reference float64) int {
 	floor := d.rungs.tariffs[s.Tariff].Floor
-	lean := d.rungs.lean(s.Tariff)
+	lean, mine := d.rungs.lean(s.Tariff), d.gauge.mine(n)
 	for q := d.rungs.top(s); q > floor; q-- {
 		more := d.rungs.rate(s, q) - s.carried
 		onLink, onUplink := 1.0, 1.0
@@ -415,19 +416,20 @@
 			link += (1 - d.gauge.holds(n.use.of)) * d.gauge.spread
 		}
 		use := max(link, uplink)
-		if use <= bar(q, reference)+lean || s.phase == playing && q <= s.rung && use <= keepTo+lean {
+		if use <= bar(q, reference, mine)+lean || s.phase == playing && q <= s.rung && use <= keepTo+lean {
 			return q
 		}
 	}
 	return floor
 }
 
-// bar is how far up link and uplink a rung may newly take.
-func bar(rung int, reference float64) float64 {
+// bar is how far up link and uplink a rung may newly take: the further, the more of what is asked there is
+// this director's own. What is left over guards against others that take the same room at the same time.
+func bar(rung int, reference, mine float64) float64 {
 	if float64(rung) > reference {
-		return spareTo
+		return spareTo + ownLean*mine
 	}
-	return raiseTo
+	return raiseTo + ownLean*mine
 }
 
 // part is the part of those who heard the same figures that must step as this session would to bring
@@ -437,7 +439,7 @@
 	link, uplink := d.gauge.counts(n, 0, 0)
 	more, to := d.rungs.rate(s, rung)-s.carried, d.rungs.lean(s.Tariff)+downTo
 	if more > 0 {
-		to += bar(rung, reference) - downTo
+		to += bar(rung, reference, d.gauge.mine(n)) - downTo
 	}
 	byLink := (to - link) * n.size / (more * onLink)
 	byUplink := (to - uplink) * d.gauge.fleet.Uplink / (more * onUplink)
@@ -603,6 +605,15 @@
 	return echo(g.link(n)*n.size, n.own), echo(g.uplink(n.rack)*g.fleet.Uplink, g.racks[n.rack].own)
 }
 
+// mine is the part of what is asked of a node's link, or of its uplink if less, that is the director's own.
+func (g *gauge) mine(n *node) float64 {
+	if n.own <= 0 {
+		return 0
+	}
+	onLink, onUplink := g.echoes(n)
+	return 1 / max(onLink, onUplink)
+}
+
 // link is the part of a node's link that is asked.
 func (g *gauge) link(n *node) float64 { return g.figure(&n.use, n.size, n.own, g.links) }
 
