The program on loopback between stand-ins of the platform; who comes after SIGTERM is told

Tests of the real front on loopback (program_test.go): a whole session, sessions that outlive connections, spoilt and doubled answers, clients that mean harm, a node that dies, the board (drain, gap, break, move, silence), an order to stop. Found by the last: after SIGTERM a new viewer's connection was closed without a word, since the limits let nobody in (director.go, Stop); where a connection is only the way for a request it is let in and each request nacked.

--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -381,7 +381,9 @@
 	case Stop:
 		if l.stop == nil {
 			l.stop = closing.Begin(l.now, l.term)
-			l.limit(limits.Event{What: limits.Draining})
+			if !l.manners.Loose { // there a connection is no more than the way for a request, which is told to come again
+				l.limit(limits.Event{What: limits.Draining})
+			}
 			l.log("closing: %d answers owed, %d sessions play, ended within %v", l.owed, l.playing, l.term.Within)
 			l.close()
 		}
--- /dev/null
+++ b/internal/platform/program_test.go
@@ -0,0 +1,558 @@
+package platform
+
+import (
+	"bufio"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fordusher/internal/daemon"
+)
+
+// The program itself on loopback, between a media node, a notice board and viewers that are written from the
+// platform's protocol and do as they are told.
+
+// patience is the longest that a test waits for what has to come; nothing waits for it to pass.
+const patience = 10 * time.Second
+
+// A standIn is a media node: reply says what goes back for a set-up, word for word; nothing where it is empty.
+type standIn struct {
+	t     *testing.T
+	ln    net.Listener
+	mu    sync.Mutex
+	conns []net.Conn
+	heard []string // heads and bodies, as they came
+	reply func(session string) string
+}
+
+func newStandIn(t *testing.T) *standIn {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &standIn{t: t, ln: ln, reply: good}
+	t.Cleanup(n.stop)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			n.mu.Lock()
+			n.conns = append(n.conns, c)
+			n.mu.Unlock()
+			go n.serve(c)
+		}
+	}()
+	return n
+}
+
+// stop ends it as a process that dies: its connections are reset, and new ones refused.
+func (n *standIn) stop() {
+	n.ln.Close()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, c := range n.conns {
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+	n.conns = nil
+}
+
+func (n *standIn) serve(c net.Conn) {
+	var have []byte
+	for {
+		buf := make([]byte, 4096)
+		k, err := c.Read(buf)
+		if err != nil {
+			return
+		}
+		have = append(have, buf[:k]...)
+		for {
+			size, err := splitRTSP(have)
+			if err != nil {
+				n.t.Errorf("the director sent %q: %v", have, err)
+				return
+			}
+			if size == 0 {
+				break
+			}
+			m, _ := readRTSP(have[:size])
+			n.mu.Lock()
+			n.heard = append(n.heard, string(have[:size]))
+			reply := n.reply
+			n.mu.Unlock()
+			have = have[size:]
+			if m.method == methodSetup {
+				io.WriteString(c, reply(m.session()))
+			}
+		}
+	}
+}
+
+func (n *standIn) answers(reply func(session string) string) {
+	n.mu.Lock()
+	n.reply = reply
+	n.mu.Unlock()
+}
+
+// says goes out on the connection that was made last.
+func (n *standIn) says(text string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	io.WriteString(n.conns[len(n.conns)-1], text)
+}
+
+func (n *standIn) count(part string) (times int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, m := range n.heard {
+		if strings.Contains(m, part) {
+			times++
+		}
+	}
+	return times
+}
+
+const theirs = "0011223344556677\r\nc=IN IP4 10.9.9.9\r\n"
+
+func answered(session string, status int, body string) string {
+	return fmt.Sprintf("RTSP/1.0 %d X\r\nCSeq: 1\r\nSession: %s\r\nContent-Length: %d\r\n\r\n%s", status, session, len(body), body)
+}
+
+func good(session string) string { return answered(session, 200, theirs) }
+
+func ended(session string, cause int) string {
+	return fmt.Sprintf("TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: %s\r\nReason: cause=%d\r\nContent-Length: 0\r\n\r\n", session, cause)
+}
+
+// A program is a director, with the nodes that its list names.
+type program struct {
+	t     *testing.T
+	d     *daemon.Daemon
+	nodes []*standIn
+}
+
+// settings are those of a deployment, as far as they are read.
+const settings = `{"balancers":1,"me":0,"zone":"z","zones":["z"],"flavors":["box"],"membership_mode":"push",
+ "classes":[{"name":"clip","target_s":1,"give_up_s":2,"semantics":"free","credit":1},
+  {"name":"exam","target_s":1,"give_up_s":2,"semantics":"single_shot","credit":3}],
+ "family_info":{"positions":4,"shelves":1,"kind_slots":[100],"ladder_kb":[100,200],"level_worth":[0.5,1],"link_unit_kb":10000,
+  "rack_link_kb":100000,"told_every_s":30,"told_late_s":1},
+ "permissions":{"max_attempts":4,"connect_timeout_s":0.5},"report":{"fields":["x0","x1"]},
+ "rules":{"cold_from":0.5,"fall_multiple":4,"ramp_time_s":0.1,"tip_after_s":0.05}}`
+
+func start(t *testing.T, nodes int, board string) *program {
+	t.Helper()
+	p := &program{t: t}
+	var targets []target
+	for i := range nodes {
+		n := newStandIn(t)
+		p.nodes = append(p.nodes, n)
+		targets = append(targets, target{ID: nodeName(uint32(i)), Endpoint: n.ln.Addr().String(), Zone: "z", Kind: "box", Cell: i,
+			State: "ready", Weight: 1})
+	}
+	known, err := json.Marshal(targets)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if board == "" {
+		board = "127.0.0.1:1"
+	}
+	posting, err := parsePosting(fmt.Appendf(nil, `{"name":"n0","listen":"127.0.0.1:0","seed":"1f","board":%q,
+ "limits":{"cores":1,"memory_mb":256,"sockets":512},"settings":%s,
+ "known":{"rev":3,"notices":[{"rev":3,"pool":{"rev":3,"all":true,"targets":%s}}]}}`, board, settings, known))
+	if err != nil {
+		t.Fatal(err)
+	}
+	house := posting.House(time.Now())
+	front := NewFront(posting, house, time.Now)
+	p.d, err = daemon.StartAt(front, house, "b", 1, posting.Module(1), zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.d.Kill)
+	for _, n := range p.nodes {
+		p.wait("no connection to a node", func() bool { n.mu.Lock(); defer n.mu.Unlock(); return len(n.conns) > 0 })
+	}
+	time.Sleep(150 * time.Millisecond) // a director that has just started is careful for the ramp's time
+	return p
+}
+
+func (p *program) wait(what string, ok func() bool) {
+	p.t.Helper()
+	for end := time.Now().Add(patience); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			p.t.Fatal(what)
+		}
+	}
+}
+
+type viewer struct {
+	t *testing.T
+	c net.Conn
+	r *bufio.Reader
+}
+
+func (p *program) viewer() *viewer {
+	p.t.Helper()
+	c, err := net.Dial("tcp", p.d.Address())
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	p.t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patience))
+	return &viewer{p.t, c, bufio.NewReader(c)}
+}
+
+func (v *viewer) send(raw []byte) { v.c.Write(raw) }
+
+// next reads a message; ok is false where the connection has ended.
+func (v *viewer) next() (m viewerMessage, ok bool) {
+	v.t.Helper()
+	head := make([]byte, lengthSize)
+	if _, err := io.ReadFull(v.r, head); err != nil {
+		if n, is := err.(net.Error); is && n.Timeout() {
+			v.t.Fatal("nothing came")
+		}
+		return m, false
+	}
+	raw := append(head, make([]byte, binary.BigEndian.Uint16(head))...)
+	if _, err := io.ReadFull(v.r, raw[lengthSize:]); err != nil {
+		return m, false
+	}
+	m, err := readViewer(raw)
+	if err != nil {
+		v.t.Fatal(err)
+	}
+	return m, true
+}
+
+// expect reads a message of a kind about a session; it returns the value of a parameter.
+func (v *viewer) expect(kind byte, session uint64, code byte) (value string) {
+	v.t.Helper()
+	m, ok := v.next()
+	if !ok || m.kind != kind || m.session != session {
+		v.t.Fatalf("%v, kind %d, session %d; wanted kind %d, session %d", ok, m.kind, m.session, kind, session)
+	}
+	m.each(func(c byte, x []byte) error {
+		if c == code {
+			value = string(x)
+		}
+		return nil
+	})
+	return value
+}
+
+func TestAWholeSession(t *testing.T) {
+	p := start(t, 1, "")
+	v := p.viewer()
+	v.send(newViewer(kindTest, 5).param(codeCause, []byte{0}).done())
+	if v.expect(kindTested, 5, codeCause) != "\x01" {
+		t.Fatal("the test was not passed")
+	}
+	v.send(aSetup(7, map[byte]string{codePlace: "home:0;copies:1;top:1"}))
+	if got := v.expect(kindAnswer, 7, codeDescription); got != theirs {
+		t.Fatalf("description %q", got)
+	}
+	if n := p.nodes[0]; n.count(aDescription) != 1 || n.count("X-Service: clip") != 1 || n.count("rtsp://media/7f3a9c21e0b4d655 ") != 1 {
+		t.Fatalf("%q", n.heard)
+	}
+	p.nodes[0].says(ended(sessionID(7), causeEnded))
+	if v.expect(kindRelease, 7, codeCause) != string([]byte{causeEnded}) {
+		t.Fatal("another cause")
+	}
+	p.wait("the node's release was not heard", func() bool { return p.nodes[0].count("RTSP/1.0 200 OK") == 1 })
+}
+
+func TestASessionOutlivesItsConnections(t *testing.T) {
+	p := start(t, 1, "")
+	v := p.viewer()
+	v.send(aSetup(7, map[byte]string{codePlace: "home:0;copies:1;top:1"}))
+	v.expect(kindAnswer, 7, codeDescription)
+	v.c.Close()
+	other := p.viewer()
+	other.send(newViewer(kindTest, 1).done())
+	other.expect(kindTested, 1, codeCause)
+	n := p.nodes[0]
+	n.mu.Lock()
+	n.conns[0].Close()
+	n.mu.Unlock()
+	p.wait("no new connection", func() bool { n.mu.Lock(); defer n.mu.Unlock(); return len(n.conns) > 1 })
+	n.says(ended(sessionID(7), causeEnded))
+	other.expect(kindRelease, 7, codeCause)
+}
+
+// What a node answers that can't be read, is cut off or follows itself must never reach a viewer as an answer; a free
+// session is set up elsewhere.
+func TestAnswersThatAreSpoilt(t *testing.T) {
+	for name, reply := range map[string]func(string) string{
+		"noise":          func(string) string { return "\x16\x03\x01\x02\x00\x01" },
+		"no length":      func(s string) string { return "RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: " + s + "\r\n\r\n" },
+		"too short":      func(s string) string { return strings.Replace(good(s), "Length: ", "Length: 1\r\nX-A: ", 1) },
+		"3 GB":           func(s string) string { return strings.Replace(good(s), "Length: ", "Length: 32212254", 1) },
+		"half a line":    func(s string) string { return good(s)[:20] },
+		"half a body":    func(s string) string { return good(s)[:len(good(s))-5] },
+		"nothing at all": func(string) string { return "" },
+		"of nobody":      func(string) string { return good("ffffffffffffffff") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := start(t, 2, "")
+			p.nodes[0].answers(reply)
+			v := p.viewer()
+			for id := uint64(1); id <= 4; id++ { // two holders: each is tried first by some
+				v.send(aSetup(id, map[byte]string{codePlace: "home:0;copies:2;top:1"}))
+				if got := v.expect(kindAnswer, id, codeDescription); got != theirs {
+					t.Fatalf("description %q", got)
+				}
+			}
+		})
+	}
+}
+
+func TestAnswersThatSayMoreThanTheyShould(t *testing.T) {
+	p := start(t, 1, "")
+	p.nodes[0].answers(func(s string) string { return good("ffffffffffffffff") + good(s) + good(s) })
+	v := p.viewer()
+	for id := uint64(1); id <= 3; id++ {
+		v.send(aSetup(id, map[byte]string{codePlace: "home:0;copies:1;top:1"}))
+		v.expect(kindAnswer, id, codeDescription)
+	}
+}
+
+// A paid session whose answer can't be read may have run: it is neither sent again nor is coming again called harmless.
+func TestAPaidSessionIsNeverSentAgain(t *testing.T) {
+	p := start(t, 2, "")
+	for _, n := range p.nodes {
+		n.answers(func(string) string { return "noise" })
+	}
+	v := p.viewer()
+	v.send(aSetup(7, map[byte]string{codeClass: "exam", codePlace: "home:0;copies:2;top:1"}))
+	if cause := v.expect(kindRelease, 7, codeCause); cause == string([]byte{causeNacked}) {
+		t.Fatal("coming again was called harmless")
+	}
+	if sent := p.nodes[0].count(methodSetup+" ") + p.nodes[1].count(methodSetup+" "); sent != 1 {
+		t.Fatalf("sent %d times", sent)
+	}
+}
+
+// Each is owed a refusal or a close; the usual viewer beside it notices nothing.
+func TestClientsThatMeanHarm(t *testing.T) {
+	p := start(t, 1, "")
+	usual := p.viewer()
+	usual.send(newViewer(kindTest, 1).done())
+	usual.expect(kindTested, 1, codeCause)
+	place := map[byte]string{codePlace: "home:0;copies:1;top:1"}
+	for name, raw := range map[string][]byte{
+		"noise":              []byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n"),
+		"a length of 0":      make([]byte, 64),
+		"an unknown message": newViewer(123, 9).done(),
+		"a message of ours":  newViewer(kindAnswer, 9).done(),
+		"an unknown class":   aSetup(9, map[byte]string{codeClass: "none"}),
+		"a negative wait":    aSetup(9, map[byte]string{codeWait: "-1"}),
+		"no id":              aSetup(0, place),
+		"a cell beyond all":  aSetup(9, map[byte]string{codePlace: "home:99;copies:1;top:1"}),
+		"megabytes":          make([]byte, 4<<20),
+		"half a set-up":      aSetup(9, place)[:40],
+		"silence":            nil,
+	} {
+		v := p.viewer()
+		began := time.Now()
+		go v.send(raw)
+		if m, ok := v.next(); ok && (m.kind != kindRelease || m.session != 9 && m.session != 0) {
+			t.Errorf("%s: answered with %d", name, m.kind)
+		}
+		if took := time.Since(began); took > 3*time.Second {
+			t.Errorf("%s: %v", name, took)
+		}
+		v.c.Close()
+	}
+	usual.send(aSetup(1, place))
+	usual.expect(kindAnswer, 1, codeDescription)
+	thief := p.viewer()
+	for range 20 {
+		thief.send(aSetup(1, place))
+		thief.expect(kindRelease, 1, codeCause)
+	}
+	p.nodes[0].says(ended(sessionID(1), causeEnded))
+	usual.expect(kindRelease, 1, codeCause)
+}
+
+func TestANodeThatDies(t *testing.T) {
+	p := start(t, 1, "")
+	v := p.viewer()
+	v.send(aSetup(7, map[byte]string{codePlace: "home:0;copies:1;top:1"}))
+	v.expect(kindAnswer, 7, codeDescription)
+	began := time.Now()
+	p.nodes[0].stop()
+	if cause := v.expect(kindRelease, 7, codeCause); cause != string([]byte{causeLost}) || time.Since(began) > time.Second {
+		t.Fatalf("cause %q after %v", cause, time.Since(began))
+	}
+}
+
+// A boardStand tells what it is told to, and notes from which number it is asked.
+type boardStand struct {
+	ln    net.Listener
+	asked chan uint64
+	conns chan net.Conn
+}
+
+func newBoard(t *testing.T) *boardStand {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	b := &boardStand{ln, make(chan uint64, 16), make(chan net.Conn, 16)}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			from := make([]byte, 8)
+			if _, err := io.ReadFull(c, from); err != nil {
+				continue
+			}
+			b.asked <- binary.BigEndian.Uint64(from)
+			b.conns <- c
+		}
+	}()
+	return b
+}
+
+func (b *boardStand) next(t *testing.T) (from uint64, c net.Conn) {
+	t.Helper()
+	select {
+	case from = <-b.asked:
+		return from, <-b.conns
+	case <-time.After(patience):
+		t.Fatal("the board was not asked")
+	}
+	return 0, nil
+}
+
+// event is a change of one node's state.
+func event(number uint64, node uint32, state byte, address string) []byte {
+	raw := binary.BigEndian.AppendUint32(nil, frameHead-frameLength+recordSize)
+	raw = append(binary.BigEndian.AppendUint64(raw, number), frameChanges)
+	raw = binary.BigEndian.AppendUint32(raw, node)
+	a := net.ParseIP("127.0.0.1").To4()
+	port := 0
+	if tcp, err := net.ResolveTCPAddr("tcp", address); err == nil {
+		port = tcp.Port
+	}
+	raw = binary.BigEndian.AppendUint16(append(raw, a...), uint16(port))
+	raw = append(raw, state, 0, 0, 0, byte(node))
+	raw = binary.BigEndian.AppendUint32(raw, 1000)
+	return binary.BigEndian.AppendUint64(raw, 0)
+}
+
+func TestTheBoard(t *testing.T) {
+	b, moved := newBoard(t), newBoard(t)
+	p := start(t, 2, b.ln.Addr().String())
+	from, c := b.next(t)
+	if from != 3 {
+		t.Fatalf("asked from %d", from)
+	}
+	drained := event(4, 0, 1, p.nodes[0].ln.Addr().String())
+	c.Write(drained)
+	c.Write(drained) // told twice
+	c.Write(event(6, 1, 1, p.nodes[1].ln.Addr().String()))
+	if from, c = b.next(t); from != 4 { // 5 was left out
+		t.Fatalf("asked from %d", from)
+	}
+	c.Write(drained[:20]) // and breaks off
+	c.Close()
+	if from, _ = b.next(t); from != 4 {
+		t.Fatalf("asked from %d", from)
+	}
+	p.d.MoveList(moved.ln.Addr().String())
+	if from, c = moved.next(t); from != 4 {
+		t.Fatalf("asked from %d", from)
+	}
+	v := p.viewer()
+	for id := uint64(1); id <= 4; id++ {
+		v.send(aSetup(id, map[byte]string{codePlace: "home:0;copies:2;top:1"}))
+		v.expect(kindAnswer, id, codeDescription)
+	}
+	if sent := p.nodes[0].count(methodSetup + " "); sent != 0 {
+		t.Fatalf("%d set-ups went to a node that drains", sent)
+	}
+	c.Write(event(5, 1, 2, p.nodes[1].ln.Addr().String())) // gone, and all that plays there once its connection ends
+	p.nodes[1].stop()
+	for range 4 {
+		if m, ok := v.next(); !ok || m.kind != kindRelease {
+			t.Fatalf("%v, kind %d", ok, m.kind)
+		}
+	}
+	// Silence: the board is asked again though the connection stands.
+	if from, _ = moved.next(t); from != 5 {
+		t.Fatalf("asked from %d", from)
+	}
+}
+
+func TestAnOrderToStop(t *testing.T) {
+	p := start(t, 1, "")
+	var asked sync.WaitGroup
+	asked.Add(1)
+	hold := make(chan bool)
+	v := p.viewer()
+	place := map[byte]string{codePlace: "home:0;copies:1;top:1"}
+	v.send(aSetup(1, place))
+	v.expect(kindAnswer, 1, codeDescription)
+	p.nodes[0].answers(func(s string) string { asked.Done(); <-hold; return good(s) })
+	v.send(aSetup(2, place))
+	asked.Wait()
+	p.d.Stop()
+	late := p.viewer()
+	late.send(aSetup(3, place))
+	if cause := late.expect(kindRelease, 3, codeCause); cause != string([]byte{causeNacked}) {
+		t.Fatalf("cause %q", cause)
+	}
+	close(hold)
+	seen := map[uint64][]byte{}
+	for len(seen[1])+len(seen[2]) < 3 { // the first is released; the second is answered, and released
+		m, ok := v.next()
+		if !ok {
+			t.Fatalf("closed after %v", seen)
+		}
+		seen[m.session] = append(seen[m.session], m.kind)
+	}
+	if string(seen[1]) != string([]byte{kindRelease}) || string(seen[2]) != string([]byte{kindAnswer, kindRelease}) {
+		t.Fatalf("%v", seen)
+	}
+	select {
+	case <-p.d.Done():
+	case <-time.After(patience):
+		t.Fatal("it did not end")
+	}
+}
+
+func TestPostingsThatCantBeUsed(t *testing.T) {
+	for want, text := range map[string]string{
+		"line 2":            "{\n\"name\": }",
+		"settings":          `{"name":"a"}`,
+		"classes":           `{"settings":{}}`,
+		"ladder_kb":         `{"settings":{"classes":[{"name":"a"}]}}`,
+		"positions":         `{"settings":{"classes":[{"name":"a"}],"family_info":{"ladder_kb":[1]}}}`,
+		"cannot unmarshal":  `{"limits":{"sockets":"many"}}`,
+		"unexpected end of": `{"name":"a"`,
+	} {
+		if _, err := parsePosting([]byte(text)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", text, err)
+		}
+	}
+	if _, err := ReadPosting(func(string) string { return "" }); err == nil || !strings.Contains(err.Error(), EnvPosting) {
+		t.Errorf("%v", err)
+	}
+}
