--- a/internal/platform/start.go
+++ b/internal/platform/start.go
@@ -167,7 +167,7 @@
 	boardQuiet   = 2200 * time.Millisecond
 	answerAhead  = 20 * time.Millisecond
 	perViewer    = 256
-	inboxMost    = 512
+	inboxMost    = 2048 // what is handed over at a start comes at once
 	nodeSockets  = 3 // for each media node: one standing, one being made, one being closed
 	nodesSpare   = 8 // that may come beyond the cells there are
 	socketsSpare = 32
@@ -209,7 +209,7 @@
 	}
 	room := max(fewSockets, sockets-nodeSockets*(t.Family.Cells+nodesSpare)-socketsSpare)
 	h.Room = limits.Room{
-		Connections: room, Handshakes: room, Ping: forever, Patience: 5 * time.Second, Handshake: silentMost,
+		Connections: room, Handshakes: room, Ping: forever, Patience: time.Second, Handshake: silentMost,
 		Retry: time.Second,
 	}
 	if p.Limits.MemoryMB > 0 {
--- a/internal/transport/plain.go
+++ b/internal/transport/plain.go
@@ -17,7 +17,8 @@
 
 // ServePlain is Serve for a protocol without a handshake that frames its messages itself. A peer knocks with its first
 // whole message, and until then counts as one whose handshake has not come: beyond Bounds.Pending the one that has
-// been silent for longest is reset, not the newcomer, and all are after Bounds.Handshake.
+// been silent for longest is reset, not the newcomer, and all are after Bounds.Handshake. So long may any later
+// message take to come whole.
 func ServePlain(address string, split Split, bounds Bounds, handler Handler) (*Server, error) {
 	return serve(address, "", split, bounds, handler)
 }
@@ -101,6 +102,7 @@
 				c.handler.Opened(c)
 			}
 		}
+		c.moved = true
 		message := append([]byte(nil), in[:size]...)
 		in = in[size:]
 		c.handler.Message(c, message)
@@ -108,6 +110,20 @@
 	return nil
 }
 
+// hurry ends the connection of a peer that has begun a message and does not finish it within the time of a handshake.
+func (c *Conn) hurry() {
+	if c.begun != nil && (c.moved || len(c.partial) == 0) {
+		c.begun.Stop()
+		c.begun = nil
+	}
+	c.moved = false
+	if len(c.partial) > 0 && c.begun == nil && c.bounds.Handshake > 0 {
+		c.begun = time.AfterFunc(c.bounds.Handshake, func() {
+			c.end(fmt.Errorf("%w: half a message for %v", ErrSlow, c.bounds.Handshake), ws.StatusPolicyViolation, "half a message")
+		})
+	}
+}
+
 // crowdOut resets the connection that has said nothing whole for longest.
 func (s *Server) crowdOut() {
 	var oldest *Conn
--- a/internal/transport/plain_test.go
+++ b/internal/transport/plain_test.go
@@ -123,4 +123,13 @@
 	if ended(silent[1]) > 5*time.Second {
 		t.Fatal("what can't be read did not end the connection")
 	}
+	c, err := net.Dial("tcp", s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.Write([]byte("\x02a\x03b"))
+	if began = time.Now(); ended(c) > 3*time.Second {
+		t.Fatal("half a message was waited for")
+	}
 }
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -137,7 +137,9 @@
 	fragment ws.OpCode
 	half     bool
 	pinged   bool
-	ping     []byte // of the last ping that is not answered yet
+	ping     []byte      // of the last ping that is not answered yet
+	moved    bool        // a message that frames itself has come whole since the last look
+	begun    *time.Timer // runs while a message that frames itself has come in part
 
 	once    sync.Once
 	mu      sync.Mutex
@@ -475,6 +477,9 @@
 		in = c.partial
 	}
 	c.keep(in, c.consume(in))
+	if c.split != nil && c.server != nil && c.open {
+		c.hurry()
+	}
 	c.pong()
 }
 
