A session handed over scores upwards as a set-up does until its first switch

Cause: demand() and note() take the rung at the hand-over for a 70 s mean that nobody knows (policy.go). Now it is the reference while that is higher, until the first switch.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -126,6 +126,7 @@
 	s.sent = d.now
 	d.sit(s)
 	d.plays(s)
+	s.strange = true
 	if n, ok := d.names.find(e.Playing); ok {
 		s.node = n
 		d.warmth.handed = true
@@ -468,7 +469,11 @@
 	if d.now-n.shortAt < rescoreEvery { // the note that ends it is lost with the session it was on
 		fitting = min(fitting, s.rung)
 	}
-	rung := payoff(d.rungs.tariffs[s.Tariff].Floor, fitting, reference, s.mean)
+	mean := s.mean
+	if s.strange { // what it had before is not known: on the way up it scores as a set-up does
+		mean = max(mean, reference)
+	}
+	rung := payoff(d.rungs.tariffs[s.Tariff].Floor, fitting, reference, mean)
 	if rung != s.rung {
 		d.change(s, rung, d.part(s, n, rung, reference))
 	}
@@ -483,7 +488,7 @@
 	d.gauge.count(n, part*(onLink-1)*more, part*(onUplink-1)*more)
 	if d.chance.share() < part {
 		d.do(Rate{s.ID, rung})
-		s.switched = d.now
+		s.switched, s.strange = d.now, false
 		d.carry(s, rung)
 	}
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -114,6 +114,25 @@
 	}
 }
 
+// Sessions handed over at a rung stayed there while a set-up beside them, by the same figures, got a higher one.
+func TestWhatIsHandedOverClimbsAsASetUpWould(t *testing.T) {
+	for handed, want := range map[bool]int{true: 2, false: 1} {
+		d, _ := still(false, 1)
+		d.Step(0, Demand{ID: 1, Copies: 1, Top: 2, HardStop: time.Hour, Playing: "a"})
+		d.Step(0, Note{ID: 1, Node: "a", Kind: RungNote, Value: 1})
+		d.Step(0, Note{ID: 1, Node: "a", Kind: LinkNote, Value: 0.3})
+		i, _ := d.ids.find(1)
+		s := &d.sessions[i]
+		s.strange = handed
+		d.nodes[s.node].fair = 140 // a reference of 1.4: nearer to 1, the mean
+		d.now, d.gauge.now = rescoreEvery, rescoreEvery
+		d.rescore(s)
+		if s.rung != want {
+			t.Fatalf("handed over %v: rung %d, wanted %d", handed, s.rung, want)
+		}
+	}
+}
+
 // What was short was taken from all tariffs alike, whatever they earned.
 func TestCreditLeans(t *testing.T) {
 	r := rungs{tariffs: []Tariff{{Credit: 1}, {Credit: 3}, {Credit: 1}}}
--- a/policy/state.go
+++ b/policy/state.go
@@ -26,6 +26,7 @@
 	tried     []int // nodes of earlier legs; at most Legs.Most
 	sent      time.Duration
 	started   time.Duration
+	strange   bool   // handed over while it played, and not switched since
 	suspected bool   // this leg has already been held against its node
 	erred     bool   // a leg of it has ended with an error
 	errorAt   string // the node of the first that did, until there is a second word on it
