--- a/policy/policy.go
+++ b/policy/policy.go
@@ -126,7 +126,7 @@
 	s.sent = d.now
 	d.sit(s)
 	d.plays(s)
-	s.strange = true
+	s.strange, s.scored = true, d.now-rescoreEvery
 	if n, ok := d.names.find(e.Playing); ok {
 		s.node = n
 		d.warmth.handed = true
@@ -454,15 +454,18 @@
 }
 
 func (d *Director) rescore(s *session) {
-	since := float64(max(1, min(d.now-s.started, meanSpan)))
-	s.mean += (float64(s.rung) - s.mean) * min(1, float64(d.now-s.scored)/since)
-	s.scored = d.now
-	if s.node < 0 || d.now-s.switched < switchEvery {
+	if s.node < 0 {
 		return
 	}
 	n := &d.nodes[s.node]
 	if !n.use.known && !d.gauge.racks[n.rack].use.known {
-		return // nothing heard of the node yet: no ground for a change
+		return // nothing heard of the node yet: no ground for a change; it is scored once there is
+	}
+	since := float64(max(1, min(d.now-s.started, meanSpan)))
+	s.mean += (float64(s.rung) - s.mean) * min(1, float64(d.now-s.scored)/since)
+	s.scored = d.now
+	if d.now-s.switched < switchEvery {
+		return
 	}
 	reference := d.rungs.reference(s, n.fair)
 	fitting := d.fitting(s, n, reference)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -133,6 +133,22 @@
 	}
 }
 
+// Sessions handed over waited for two seconds, and for two more where no figure had come by then.
+func TestWhatIsHandedOverIsScoredOnceItsNodeIsHeard(t *testing.T) {
+	d, _ := still(false, 1)
+	d.Step(0, Demand{ID: 1, Copies: 1, Top: 2, HardStop: time.Hour, Playing: "a"})
+	at := pulse
+	for ; at < rescoreEvery+rescoreEvery/2; at += pulse {
+		if _, ok := find[Rate](d.Step(at, Ring{})); ok {
+			t.Fatal("stepped without a figure")
+		}
+	}
+	d.Step(at, Note{ID: 1, Node: "a", Kind: LinkNote, Value: 0.1})
+	if _, ok := find[Rate](d.Step(at+pulse, Ring{})); !ok {
+		t.Fatal("not scored at the next look")
+	}
+}
+
 // What was short was taken from all tariffs alike, whatever they earned.
 func TestCreditLeans(t *testing.T) {
 	r := rungs{tariffs: []Tariff{{Credit: 1}, {Credit: 3}, {Credit: 1}}}
