--- a/internal/platform/start.go
+++ b/internal/platform/start.go
@@ -168,8 +168,8 @@
 	answerAhead  = 20 * time.Millisecond
 	perViewer    = 256
 	inboxMost    = 2048 // what is handed over at a start comes at once
-	nodeSockets  = 3 // for each media node: one standing, one being made, one being closed
-	nodesSpare   = 8 // that may come beyond the cells there are
+	nodeSockets  = 3    // for each media node: one standing, one being made, one being closed
+	nodesSpare   = 8    // that may come beyond the cells there are
 	socketsSpare = 32
 	silentShare  = 4 // the part of the room that may be silent
 	fewSockets   = 64
