--- a/internal/director/loose_test.go
+++ b/internal/director/loose_test.go
@@ -291,14 +291,13 @@
 		s.enter(2)
 		s.forget()
 		type want struct {
-			tariff    string
-			conn      uint64
-			answers   int
-			over      int
-			out       int // legs out
-			mayHave   bool
-			plays     bool
-			abandoned bool
+			tariff  string
+			conn    uint64
+			answers int
+			over    int
+			out     int // legs out
+			mayHave bool
+			plays   bool
 		}
 		wants := map[string]*want{}
 		var ids []string
--- a/internal/platform/rtsp.go
+++ b/internal/platform/rtsp.go
@@ -76,11 +76,10 @@
 		}
 		return 0, nil
 	}
-	m, length, err := readHead(in[:end+2])
+	_, length, err := readHead(in[:end+2])
 	if err != nil {
 		return 0, err
 	}
-	_ = m
 	size := end + len(headEnd) + length
 	if size > messageMost {
 		return 0, errBody
