Dialled connections are put into use in one place; the test of bars can tell them apart

TestWhoHoldsALinkRaisesFurther compared two directors that both held all of the link and could not fail on its first half; it now compares one that holds all with one that holds a quarter, and fails with ownLean 0.

--- a/internal/transport/plain.go
+++ b/internal/transport/plain.go
@@ -32,14 +32,7 @@
 	np.SetWriteTimeout(bounds.Write)
 	c := &Conn{np: socket{np}, handler: handler, bounds: bounds, client: true, split: split, open: true, shook: true, fd: -1}
 	c.heard.Store(time.Now().UnixNano())
-	handler.Opened(c)
-	np.AddCloseCallback(c.closed)
-	np.SetOnRequest(c.read)
-	if !np.IsActive() { // it ended before the callback was there
-		c.closed(np)
-	} else {
-		c.writeAtOnce()
-	}
+	c.stand(np, nil)
 	return c, nil
 }
 
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -863,10 +863,16 @@
 		c.partial = leftover(br)
 		ws.PutReader(br)
 	}
-	handler.Opened(c)
-	np.AddCloseCallback(c.closed)
 	in := c.partial
 	c.partial = nil
+	c.stand(np, in)
+	return c, nil
+}
+
+// stand puts a connection that was dialled into use; the peer may have said something by then.
+func (c *Conn) stand(np netpoll.Connection, in []byte) {
+	c.handler.Opened(c)
+	np.AddCloseCallback(c.closed)
 	c.feed(in)
 	np.SetOnRequest(c.read)
 	if !np.IsActive() { // it ended before the callback was there
@@ -874,7 +880,6 @@
 	} else {
 		c.writeAtOnce()
 	}
-	return c, nil
 }
 
 func dial(from netip.Addr, address string, within time.Duration) (netpoll.Connection, error) {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -96,18 +96,17 @@
 
 // A director that held nearly all of a link left as much room as one among hundreds.
 func TestWhoHoldsALinkRaisesFurther(t *testing.T) {
-	rungs := func(directors int) (all int) {
-		d, _ := still(false, directors)
-		for id := uint64(1); id <= 4; id++ {
+	rung := func(own uint64) int {
+		d, _ := still(false, 2)
+		for id := uint64(1); id <= own; id++ {
 			d.Step(0, Demand{ID: id, Copies: 3, Top: 2, HardStop: time.Hour, Playing: "a"})
 			d.Step(0, Note{ID: id, Node: "a", Kind: RungNote, Value: 2})
 		}
-		d.Step(time.Second, Note{ID: 1, Node: "a", Kind: LinkNote, Value: 0.8})
-		s := &session{Demand: Demand{Top: 2}, node: 0}
-		return d.fitting(s, &d.nodes[0], 2)
+		d.Step(2*time.Second, Note{ID: 1, Node: "a", Kind: LinkNote, Value: 0.8}) // four sessions' worth
+		return d.fitting(&session{Demand: Demand{Top: 2}, node: 0}, &d.nodes[0], 2)
 	}
-	if alone, among := rungs(1), rungs(300); alone < among {
-		t.Fatalf("alone up to rung %d, among hundreds %d", alone, among)
+	if all, some := rung(4), rung(1); all <= some {
+		t.Fatalf("who holds all raises up to rung %d, who holds a quarter up to %d", all, some)
 	}
 	if mine := bar(1, 2, 1) - bar(1, 2, 0); mine < 0.05 || bar(1, 2, 1) > 1.1 {
 		t.Fatalf("holding all raises the bar by %v", mine)
