Who has left while a request waits for the loop is not asked for any more

Now the inbox withdraws what has not reached the loop (cancel, close), a withdrawal goes before what players ask, and a request in the batch in hand is passed over once its connection has ended. Only where requests live and die with their connection (Linger 0, the platform); the WebSocket front still owes those who may come again.

An ending of what plays counts too on a connection that was not let in, or has closed by then: it was dropped (director/account.go, playerSaid).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"runtime"
 	"runtime/metrics"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -170,7 +171,9 @@
 type peer struct {
 	number  uint64
 	pending atomic.Int32
-	said    []item // what stands in line, of a player; the inbox's
+	left    atomic.Bool // a player's connection has ended
+	said    []item      // what stands in line, of a player; the inbox's
+	lined   bool        // it has a place in line; the inbox's
 }
 
 // inbox is how everybody else reaches the loop. What connections say is bounded peer by peer; all else
@@ -204,8 +207,9 @@
 func (b *inbox) stand(i item) {
 	i.came = time.Now()
 	b.mu.Lock()
-	if len(i.peer.said) == 0 {
+	if !i.peer.lined {
 		b.line = append(b.line, i.peer)
+		i.peer.lined = true
 	}
 	i.peer.said = append(i.peer.said, i)
 	b.stood++
@@ -226,18 +230,21 @@
 	defer b.mu.Unlock()
 	taken := b.first
 	b.first = into[:0]
-	for range min(turn, b.stood) {
+	for most := len(taken) + turn; len(taken) < most && b.head < len(b.line); {
 		p := b.line[b.head]
 		b.line[b.head] = nil
 		b.head++
-		taken = append(taken, p.said[0])
-		p.said[0] = item{}
-		if p.said = p.said[1:]; len(p.said) > 0 {
+		if len(p.said) > 0 { // else it has withdrawn what it had there
+			taken = append(taken, p.said[0])
+			p.said[0] = item{}
+			p.said = p.said[1:]
+			b.stood--
+		}
+		if p.lined = len(p.said) > 0; p.lined {
 			b.line = append(b.line, p)
 		} else {
 			p.said = nil
 		}
-		b.stood--
 	}
 	if b.head > 1024 && b.head*2 > len(b.line) || b.head == len(b.line) {
 		b.line = b.line[:copy(b.line, b.line[b.head:])]
@@ -246,6 +253,66 @@
 	return taken
 }
 
+// cancel takes a player's word that it leaves a request. Where the request still stands in line neither reaches the
+// loop; else the word goes before all that does, so that no attempt is begun for who is known to have left. It keeps
+// its place where what it ends, or the connection itself, is still to be made known.
+func (b *inbox) cancel(i item, id string) {
+	i.came = time.Now()
+	b.mu.Lock()
+	stands := false
+	for k, x := range i.peer.said {
+		e, ok := x.in.(director.PlayerSaid)
+		if ok && e.Message.ID == id && asks(e) {
+			i.peer.said = slices.Delete(i.peer.said, k, k+1)
+			b.stood--
+			b.mu.Unlock()
+			i.peer.pending.Add(-2)
+			return
+		}
+		stands = stands || !ok || e.Message.ID == id
+	}
+	if !stands {
+		b.first = append(b.first, i)
+	}
+	b.mu.Unlock()
+	if stands {
+		b.stand(i)
+	}
+	b.rouse()
+}
+
+// close takes word that a player's connection has ended. What it has asked for is withdrawn from the line where
+// nothing is owed to who has left; the word waits only for what else stands there.
+func (b *inbox) close(i item, owed bool) {
+	p := i.peer
+	b.mu.Lock()
+	if !owed {
+		stood := len(p.said)
+		p.said = slices.DeleteFunc(p.said, func(x item) bool {
+			said, ok := x.in.(director.PlayerSaid)
+			return ok && asks(said)
+		})
+		b.stood -= stood - len(p.said)
+		p.pending.Add(int32(len(p.said) - stood))
+	}
+	stands := len(p.said) > 0
+	if !stands {
+		i.peer = nil
+		b.first = append(b.first, i)
+	}
+	b.mu.Unlock()
+	if stands {
+		p.pending.Add(1)
+		b.stand(i)
+	}
+	b.rouse()
+}
+
+// asks tells whether a player asks for a session that does not play yet.
+func asks(e director.PlayerSaid) bool {
+	return e.Message.Type == wire.Want && (e.Brought == nil || e.Brought.Playing == "")
+}
+
 // waits is how many stand in line.
 func (b *inbox) waits() int {
 	b.mu.Lock()
@@ -354,6 +421,9 @@
 	}
 	switch e := i.in.(type) {
 	case director.PlayerSaid:
+		if d.house.Manners.Linger == 0 && i.peer.left.Load() && asks(e) {
+			return false // who left while the request waited here is owed nothing, and nothing is begun for it
+		}
 		e.Waited = time.Since(i.came)
 		i.in = e
 	case director.PlayerKnocked:
@@ -569,21 +639,21 @@
 	if reply != nil {
 		c.Send(reply, 0)
 	}
-	if in.Message.Type != "" && h.d.bound(c, p) {
-		in.Conn = p.number
-		h.d.inbox.stand(item{in: in, peer: p})
+	if in.Message.Type == "" || !h.d.bound(c, p) {
+		return
+	}
+	in.Conn = p.number
+	if i := (item{in: in, peer: p}); in.Message.Type == wire.Leave && h.d.house.Manners.Linger == 0 {
+		h.d.inbox.cancel(i, in.Message.ID)
+	} else {
+		h.d.inbox.stand(i)
 	}
 }
 
 func (h players) Closed(c *transport.Conn, _ error, _ []uint64) {
-	p, ok := c.Cookie().(*peer)
-	switch {
-	case !ok:
-	case p.pending.Load() > 0: // in its order; nothing more comes of it
-		p.pending.Add(1)
-		h.d.inbox.stand(item{in: director.PlayerClosed{Conn: p.number}, peer: p})
-	default:
-		h.d.inbox.put(item{in: director.PlayerClosed{Conn: p.number}})
+	if p, ok := c.Cookie().(*peer); ok {
+		p.left.Store(true)
+		h.d.inbox.close(item{in: director.PlayerClosed{Conn: p.number}, peer: p}, h.d.house.Manners.Linger > 0)
 	}
 }
 
--- /dev/null
+++ b/internal/daemon/inbox_test.go
@@ -0,0 +1,166 @@
+package daemon
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"fordusher/internal/director"
+	_ "fordusher/internal/seeded"
+	"fordusher/internal/wire"
+)
+
+func newInbox() *inbox { return &inbox{wake: make(chan struct{}, 1)} }
+
+// said is what a player says of a request; a request that brings a node plays there already.
+func said(p *peer, kind, id, playing string) item {
+	p.pending.Add(1)
+	return item{peer: p, in: director.PlayerSaid{Conn: p.number, Message: wire.Session{Type: kind, ID: id},
+		Brought: &director.Brought{Playing: playing}}}
+}
+
+func knocked(p *peer) item {
+	p.pending.Add(1)
+	return item{peer: p, in: director.PlayerKnocked{Conn: p.number}}
+}
+
+// words tells what was taken in a few letters each.
+func words(items []item) (all []string) {
+	for _, i := range items {
+		switch e := i.in.(type) {
+		case director.PlayerKnocked:
+			all = append(all, fmt.Sprintf("%d knocks", e.Conn))
+		case director.PlayerSaid:
+			all = append(all, fmt.Sprintf("%d %s %s", e.Conn, e.Message.Type, e.Message.ID))
+		case director.PlayerClosed:
+			all = append(all, fmt.Sprintf("%d closed", e.Conn))
+		}
+	}
+	return all
+}
+
+// Before, a request was taken, and an attempt begun for it, though the word that its client had left stood in the same
+// line: behind it, and behind one item of everybody else for each that came before it.
+func TestWhoLeftIsNotAskedForAnyMore(t *testing.T) {
+	for name, c := range map[string]struct {
+		script func(b *inbox, p *peer)
+		want   []string
+	}{
+		"cancelled in line": {func(b *inbox, p *peer) {
+			b.stand(said(p, wire.Want, "a", ""))
+			b.stand(said(p, wire.Want, "b", ""))
+			b.cancel(said(p, wire.Leave, "a", ""), "a")
+		}, []string{"1 want b"}},
+		"cancelled once taken": {func(b *inbox, p *peer) {
+			b.stand(said(p, wire.Want, "b", ""))
+			b.cancel(said(p, wire.Leave, "a", ""), "a")
+		}, []string{"1 leave a", "1 want b"}},
+		"cancelled before it was let in": {func(b *inbox, p *peer) {
+			b.stand(knocked(p))
+			b.stand(said(p, wire.Want, "a", ""))
+			b.cancel(said(p, wire.Leave, "a", ""), "a")
+		}, []string{"1 knocks"}},
+		"closed in line": {func(b *inbox, p *peer) {
+			b.stand(said(p, wire.Want, "a", ""))
+			b.stand(said(p, wire.Want, "b", ""))
+			b.close(item{in: director.PlayerClosed{Conn: 1}, peer: p}, false)
+		}, []string{"1 closed"}},
+		"closed before it was let in": {func(b *inbox, p *peer) {
+			b.stand(knocked(p))
+			b.stand(said(p, wire.Want, "a", ""))
+			b.close(item{in: director.PlayerClosed{Conn: 1}, peer: p}, false)
+		}, []string{"1 knocks", "1 closed"}},
+		"an ending keeps its place behind the knock": {func(b *inbox, p *peer) {
+			b.stand(knocked(p))
+			b.cancel(said(p, wire.Leave, "a", ""), "a")
+			b.close(item{in: director.PlayerClosed{Conn: 1}, peer: p}, false)
+		}, []string{"1 knocks", "1 leave a", "1 closed"}},
+		"what plays is handed over first": {func(b *inbox, p *peer) {
+			b.stand(said(p, wire.Want, "a", "s-1"))
+			b.cancel(said(p, wire.Leave, "a", ""), "a")
+			b.close(item{in: director.PlayerClosed{Conn: 1}, peer: p}, false)
+		}, []string{"1 want a", "1 leave a", "1 closed"}},
+		"who may come again is still owed": {func(b *inbox, p *peer) {
+			b.stand(said(p, wire.Want, "a", ""))
+			b.close(item{in: director.PlayerClosed{Conn: 1}, peer: p}, true)
+		}, []string{"1 want a", "1 closed"}},
+	} {
+		b, p := newInbox(), &peer{number: 1}
+		c.script(b, p)
+		taken := b.take(nil)
+		if got := words(taken); fmt.Sprint(got) != fmt.Sprint(c.want) {
+			t.Errorf("%s: %q, wanted %q", name, got, c.want)
+		}
+		counted := 0
+		for _, i := range taken {
+			if i.peer != nil {
+				counted++
+			}
+		}
+		if n := int(p.pending.Load()); n != counted || b.waits() != 0 || len(b.line) != 0 {
+			t.Errorf("%s: %d of %d counted, %d wait, %d in line", name, n, counted, b.waits(), len(b.line))
+		}
+	}
+}
+
+// Whatever players say, cancel and close, in whatever order: nothing is taken twice or out of its order, no request of
+// who had left before, and the counts come out even.
+func TestTheLineWithWithdrawals(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newInbox()
+		players := make([]*peer, 4)
+		left := make([]bool, len(players))
+		next := 0
+		var waiting []map[string]bool
+		for i := range players {
+			players[i] = &peer{number: uint64(i)}
+			waiting = append(waiting, map[string]bool{})
+		}
+		check := func(taken []item) {
+			for _, i := range taken {
+				if i.peer != nil {
+					i.peer.pending.Add(-1)
+				}
+				e, ok := i.in.(director.PlayerSaid)
+				if !ok || e.Message.Type != wire.Want {
+					continue
+				}
+				if !waiting[e.Conn][e.Message.ID] {
+					t.Fatalf("%d %s was withdrawn, or taken before", e.Conn, e.Message.ID)
+				}
+				delete(waiting[e.Conn], e.Message.ID)
+			}
+		}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			k := rapid.IntRange(0, len(players)-1).Draw(t, "player")
+			p := players[k]
+			switch what := rapid.IntRange(0, 9).Draw(t, "what"); {
+			case what < 2:
+				check(b.take(nil))
+			case left[k]:
+			case what < 6:
+				next++
+				id := fmt.Sprint(next)
+				waiting[k][id] = true
+				b.stand(said(p, wire.Want, id, ""))
+			case what < 9:
+				id := fmt.Sprint(rapid.IntRange(1, next+1).Draw(t, "id"))
+				delete(waiting[k], id)
+				b.cancel(said(p, wire.Leave, id, ""), id)
+			default:
+				left[k] = true
+				clear(waiting[k])
+				b.close(item{in: director.PlayerClosed{Conn: p.number}, peer: p}, false)
+			}
+		}
+		for b.waits() > 0 || len(b.first) > 0 {
+			check(b.take(nil))
+		}
+		for k, p := range players {
+			if n := p.pending.Load(); n != 0 || len(p.said) != 0 || len(waiting[k]) != 0 {
+				t.Fatalf("player %d: %d pending, %d said, %d never taken", k, n, len(p.said), len(waiting[k]))
+			}
+		}
+	})
+}
--- a/internal/director/account.go
+++ b/internal/director/account.go
@@ -187,8 +187,11 @@
 
 func (l *Loop) playerSaid(e PlayerSaid) {
 	c := l.conns[e.Conn]
-	if c == nil {
-		return // it closed a moment ago
+	if c == nil { // it closed a moment ago, or was not let in
+		if s := l.keys[e.Message.ID]; l.manners.Loose && e.Message.Type == wire.Leave && s != nil && s.answered {
+			l.gone(s) // what plays belongs to no connection, and its ending neither
+		}
+		return
 	}
 	if c.leaving { // this crosses the word to go, which says when to come back
 		l.counts.Stray++
--- a/internal/director/loose_test.go
+++ b/internal/director/loose_test.go
@@ -451,3 +451,20 @@
 		}
 	})
 }
+
+// It guards the ending of a session on a connection for which there is no room, or that has ended by then.
+func TestAnEndingNeedsNoConnection(t *testing.T) {
+	s := newLoose(t, 1)
+	s.plays("a", "clip")
+	s.asks(1, "b", "clip")
+	stranger := PlayerSaid{Conn: 77, Message: wire.Session{Type: wire.Leave, ID: "b"}}
+	s.do(stranger)
+	if s.loop.owed != 1 {
+		t.Fatal("a stranger ended what another one waits for")
+	}
+	stranger.Message.ID = "a"
+	s.do(stranger)
+	if s.loop.playing != 0 {
+		t.Fatal("it plays on for nobody")
+	}
+}
--- /dev/null
+++ b/internal/platform/crossing_test.go
@@ -0,0 +1,289 @@
+package platform
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"fordusher/internal/director"
+	"fordusher/policy"
+)
+
+// Two events that cross: each order of them is played, by peers and a module that hold what they do until told. Nothing
+// here is slept for.
+
+// A gate holds the loop within the module's answer to the first request, until it is opened.
+type gate struct {
+	director.Decider
+	entered chan struct{}
+	open    chan struct{}
+	once    sync.Once
+}
+
+func (g *gate) Step(now time.Duration, happened policy.Event) []policy.Action {
+	if d, ok := happened.(policy.Demand); ok && d.Playing == "" {
+		g.once.Do(func() {
+			close(g.entered)
+			<-g.open
+		})
+	}
+	return g.Decider.Step(now, happened)
+}
+
+// gated starts a director whose loop stands still in its first request until the gate is opened; the request is sent,
+// and the loop stands, when it returns.
+func gated(t *testing.T, nodes int) (*program, *gate) {
+	t.Helper()
+	g := &gate{entered: make(chan struct{}), open: make(chan struct{})}
+	p := startWith(t, nodes, "", settings, func(m director.Decider) director.Decider { g.Decider = m; return g })
+	t.Cleanup(func() {
+		select {
+		case <-g.open:
+		default:
+			close(g.open)
+		}
+	})
+	v := p.viewer()
+	v.send(aSetup(1, atHome))
+	<-g.entered
+	return p, g
+}
+
+var atHome = map[byte]string{codePlace: "home:0;copies:1;top:1"}
+
+// reset ends a viewer's connection as a process that dies does.
+func (v *viewer) reset() {
+	v.c.(*net.TCPConn).SetLinger(0)
+	v.c.Close()
+}
+
+// passed waits until a director has heard what was sent before on a connection: it answers tests in their order.
+func (v *viewer) passed() {
+	v.t.Helper()
+	v.send(newViewer(kindTest, 99).param(codeCause, []byte{0}).done())
+	for {
+		if m, ok := v.next(); !ok {
+			v.t.Fatal("the connection ended before the test was passed")
+		} else if m.kind == kindTested {
+			return
+		}
+	}
+}
+
+// A request whose client leaves while the loop is busy with another one is never sent on.
+func TestAClientThatLeavesWhileItsRequestWaitsForTheLoop(t *testing.T) {
+	for name, leave := range map[string]func(v *viewer){
+		"closes":      func(v *viewer) { v.c.Close() },
+		"half-closes": func(v *viewer) { v.c.(*net.TCPConn).CloseWrite() },
+		"resets":      func(v *viewer) { v.reset() },
+		"cancels":     func(v *viewer) { v.send(release(2, causeEnded)); v.passed() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p, g := gated(t, 1)
+			v := p.viewer()
+			v.send(aSetup(2, atHome))
+			v.passed()
+			leave(v)
+			if name != "cancels" {
+				p.wait("its end was not seen", func() bool { return p.ends.Load() > 0 })
+			}
+			close(g.open)
+			last := p.viewer() // what comes after it is served, so it was gone past
+			last.send(aSetup(3, atHome))
+			last.expect(kindAnswer, 3, codeDescription)
+			if n := p.nodes[0].count("Session: " + sessionID(2)); n != 0 {
+				t.Fatalf("%d messages went to the node for who had left", n)
+			}
+			p.wait("the account does not come out even", func() bool {
+				c := p.d.Counts()
+				return c.Legs == 2 && c.Played == 2 && c.OddMove == 0 && c.Overdue == 0
+			})
+		})
+	}
+}
+
+// oneSeat has one seat for each title of the paid class.
+var oneSeat = strings.Replace(settings, `"shelves":1`, `"licence_cap":[0,1],"shelves":1`, 1)
+
+func TestAClientThatLeavesWhileItsRequestIsHeld(t *testing.T) {
+	for name, leave := range map[string]func(v *viewer){
+		"closes":      func(v *viewer) { v.c.Close() },
+		"half-closes": func(v *viewer) { v.c.(*net.TCPConn).CloseWrite() },
+		"resets":      func(v *viewer) { v.reset() },
+		"cancels":     func(v *viewer) { v.send(release(2, causeEnded)); v.passed() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := startWith(t, 1, "", oneSeat, nil)
+			paid := map[byte]string{codePlace: "home:0;copies:1;top:1", codeClass: "exam"}
+			first, v, last := p.viewer(), p.viewer(), p.viewer()
+			first.send(aSetup(1, paid))
+			first.expect(kindAnswer, 1, codeDescription)
+			v.send(aSetup(2, paid)) // there is no seat for it
+			v.passed()
+			p.wait("it was not taken", func() bool { return p.d.Counts().Taken == 2 })
+			leave(v)
+			p.wait("its end was not seen", func() bool { return p.d.Counts().Gone == 1 })
+			last.send(aSetup(3, paid))
+			last.passed()
+			p.nodes[0].says(ended(sessionID(1), causeEnded)) // the seat comes back
+			last.expect(kindAnswer, 3, codeDescription)
+			if n := p.nodes[0].count("Session: " + sessionID(2)); n != 0 {
+				t.Fatalf("%d messages went to the node for who had left", n)
+			}
+		})
+	}
+}
+
+func TestAClientThatLeavesBetweenTwoAttempts(t *testing.T) {
+	for name, leave := range map[string]func(v *viewer){
+		"closes":  func(v *viewer) { v.c.Close() },
+		"resets":  func(v *viewer) { v.reset() },
+		"cancels": func(v *viewer) { v.send(release(2, causeEnded)); v.passed() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newBoard(t)
+			p := startWith(t, 2, b.ln.Addr().String(), settings, nil)
+			_, board := b.next(t)
+			board.Write(event(4, 1, 1, p.nodes[1].ln.Addr().String())) // the other holder drains
+			p.nodes[0].answers(func(s string) string { return answered(s, 500, "") })
+			v, last := p.viewer(), p.viewer()
+			place := map[byte]string{codePlace: "home:0;copies:2;top:1"}
+			v.send(aSetup(2, place))
+			p.wait("no attempt has failed", func() bool { return p.d.Counts().Legs == 1 })
+			v.passed()
+			leave(v)
+			p.wait("its end was not seen", func() bool { return p.d.Counts().Gone == 1 })
+			board.Write(event(5, 1, 0, p.nodes[1].ln.Addr().String())) // and is back: an attempt could begin there
+			last.send(aSetup(3, place))
+			last.expect(kindAnswer, 3, codeDescription)
+			if n := p.nodes[1].count("Session: " + sessionID(2)); n != 0 {
+				t.Fatalf("%d messages went to the other node for who had left", n)
+			}
+		})
+	}
+}
+
+// An attempt that is out when its client leaves is given up, and its answer, which crosses that, reaches nobody.
+func TestAClientThatLeavesWithAnAttemptOut(t *testing.T) {
+	for name, leave := range map[string]func(v *viewer){
+		"closes":      func(v *viewer) { v.c.Close() },
+		"half-closes": func(v *viewer) { v.c.(*net.TCPConn).CloseWrite() },
+		"resets":      func(v *viewer) { v.reset() },
+		"cancels":     func(v *viewer) { v.send(release(2, causeEnded)); v.passed() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := startWith(t, 1, "", oneSeat, nil)
+			p.nodes[0].answers(func(string) string { return "" })
+			paid := map[byte]string{codePlace: "home:0;copies:1;top:1", codeClass: "exam"}
+			v := p.viewer()
+			v.send(aSetup(2, paid))
+			p.wait("no attempt", func() bool { return p.nodes[0].count(methodSetup+" ") == 1 })
+			leave(v)
+			p.wait("the attempt was not given up", func() bool { return p.nodes[0].count(methodTeardown+" ") == 1 })
+			p.nodes[0].says(good(sessionID(2))) // it crosses the word
+			p.nodes[0].answers(good)
+			last := p.viewer() // the seat came back
+			last.send(aSetup(3, paid))
+			last.expect(kindAnswer, 3, codeDescription)
+			p.wait("the account does not come out even", func() bool {
+				c := p.d.Counts()
+				return c.Gone == 1 && c.Played == 1 && c.Legs == 2 && c.OddMove == 0
+			})
+		})
+	}
+}
+
+// Whoever holds the answer back lets the test say what it crosses.
+func holds(t *testing.T, n *standIn) (asked, let chan struct{}) {
+	asked, let = make(chan struct{}), make(chan struct{})
+	var once sync.Once
+	n.answers(func(s string) string {
+		once.Do(func() { close(asked) })
+		<-let
+		return good(s)
+	})
+	t.Cleanup(func() {
+		select {
+		case <-let:
+		default:
+			close(let)
+		}
+	})
+	return asked, let
+}
+
+// The answer and the deadline cross: whichever comes first, one final answer, and none after it.
+func TestAnAnswerAgainstTheDeadline(t *testing.T) {
+	p := start(t, 1, "")
+	asked, let := holds(t, p.nodes[0])
+	v := p.viewer()
+	v.send(aSetup(7, map[byte]string{codePlace: "home:0;copies:1;top:1", codeClass: "exam", codeWait: "300"}))
+	<-asked
+	if cause := v.expect(kindRelease, 7, codeCause); cause == string([]byte{causeNacked}) {
+		t.Fatal("coming again was called harmless")
+	}
+	close(let) // the answer comes after its time
+	p.wait("the attempt was not given up", func() bool { return p.nodes[0].count(methodTeardown+" ") == 1 })
+	v.passedOnly(7)
+}
+
+// passedOnly wants no word of a session until a test is passed.
+func (v *viewer) passedOnly(session uint64) {
+	v.t.Helper()
+	v.send(newViewer(kindTest, 98).param(codeCause, []byte{0}).done())
+	for {
+		m, ok := v.next()
+		switch {
+		case !ok:
+			v.t.Fatal("the connection ended")
+		case m.session == session:
+			v.t.Fatalf("a second word on session %d: kind %d", session, m.kind)
+		case m.kind == kindTested:
+			return
+		}
+	}
+}
+
+// The answer and the loss of its connection cross: what came whole before it counts, half of it does not.
+func TestAnAnswerAgainstTheLossOfItsConnection(t *testing.T) {
+	for name, whole := range map[string]bool{"whole": true, "half": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := start(t, 1, "")
+			n := p.nodes[0]
+			n.answers(func(s string) string {
+				text := good(s)
+				if !whole {
+					text = text[:len(text)-1]
+				}
+				n.mu.Lock()
+				defer n.mu.Unlock()
+				for _, c := range n.conns {
+					fmt.Fprint(c, text)
+					c.Close()
+				}
+				return ""
+			})
+			v := p.viewer()
+			v.send(aSetup(7, map[byte]string{codePlace: "home:0;copies:1;top:1", codeClass: "exam"}))
+			if whole {
+				v.expect(kindAnswer, 7, codeDescription)
+				return
+			}
+			if cause := v.expect(kindRelease, 7, codeCause); cause == string([]byte{causeNacked}) {
+				t.Fatal("coming again was called harmless")
+			}
+			v.passedOnly(7)
+			if sent := n.count(methodSetup + " "); sent != 1 {
+				t.Fatalf("a paid set-up was sent %d times", sent)
+			}
+		})
+	}
+}
--- a/internal/platform/program_test.go
+++ b/internal/platform/program_test.go
@@ -9,12 +9,15 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"fordusher/internal/daemon"
+	"fordusher/internal/director"
+	"fordusher/internal/transport"
 )
 
 // The program itself on loopback, between a media node, a notice board and viewers that are written from the
@@ -139,6 +142,28 @@
 	t     *testing.T
 	d     *daemon.Daemon
 	nodes []*standIn
+	ends  atomic.Int32 // viewers' connections that the director has seen end
+}
+
+// A watched front counts the viewers' connections that have ended.
+type watched struct {
+	*Front
+	ends *atomic.Int32
+}
+
+func (f watched) Listen(h transport.Handler) (*transport.Server, error) {
+	return f.Front.Listen(watchedHandler{h, h.(transport.Gate), f.ends})
+}
+
+type watchedHandler struct {
+	transport.Handler
+	transport.Gate
+	ends *atomic.Int32
+}
+
+func (h watchedHandler) Closed(c *transport.Conn, why error, unsent []uint64) {
+	h.Handler.Closed(c, why, unsent)
+	h.ends.Add(1)
 }
 
 // settings are those of a deployment, as far as they are read.
@@ -151,6 +176,12 @@
  "rules":{"cold_from":0.5,"fall_multiple":4,"ramp_time_s":0.1,"tip_after_s":0.05}}`
 
 func start(t *testing.T, nodes int, board string) *program {
+	t.Helper()
+	return startWith(t, nodes, board, settings, nil)
+}
+
+// startWith is start with other settings, and with something around the module.
+func startWith(t *testing.T, nodes int, board, settings string, around func(director.Decider) director.Decider) *program {
 	t.Helper()
 	p := &program{t: t}
 	var targets []target
@@ -175,7 +206,11 @@
 	}
 	house := posting.House(time.Now())
 	front := NewFront(posting, house, time.Now)
-	p.d, err = daemon.StartAt(front, house, "b", 1, posting.Module(1), zerolog.Nop())
+	module := posting.Module(1)
+	if around != nil {
+		module = around(module)
+	}
+	p.d, err = daemon.StartAt(watched{front, &p.ends}, house, "b", 1, module, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
 	}
