Media nodes are connected to on need; endings go where something has played

Two changes that share lines of the loop.

On need (reach, director/nodes.go). A connection with nothing to do for 0.8 of the platform's idle time is hung up on, so nothing crosses the node's own close; one that plays is checked by another. A first try that runs out of time is no longer held against the node. The list's source is needed always.

Endings (director/loose.go). A connection on which sessions play counted as idle once they had their answer (accepted, unhand), so it was the first to be let go when idle clients filled the room, and what ended then was told to any of those (tellOver). Now a connection is busy while something that came on it plays, and an ending goes to one that something has played on; to any other only after 500 ms.

Checked: both new tests of endings fail without the change; -race over all packages but policy.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -518,7 +518,9 @@
 
 // follow keeps the connection to the list's source.
 func (d *Daemon) follow() {
-	r := reach.New(d.seed, d.house.Pace)
+	pace := d.house.Pace
+	pace.OnNeed = false // the list's source is needed all the time
+	r := reach.New(d.seed, pace)
 	plan := r.Step(d.now(), reach.Event{What: reach.Listed})
 	for {
 		select {
--- a/internal/director/account.go
+++ b/internal/director/account.go
@@ -15,9 +15,11 @@
 	number   uint64
 	requests map[string]*request // at most PerConnection live ones and remembered ended ones; nil before the first
 	ended    []string            // ids of requests that ended, oldest first; where requests have ids of their own
-	live     int32
-	seat     int32 // its small index, for the limits
-	leaving  bool  // it was told to go: what it asks from now on is not taken
+	live     int32               // requests without their answer, or, where what plays belongs to a connection, sessions
+	standing int32               // loose: sessions that came on it and play
+	proven   bool                // loose: a session that came on it has played
+	seat     int32               // its small index, for the limits
+	leaving  bool                // it was told to go: what it asks from now on is not taken
 }
 
 // remembered is how many ended requests of a connection can still be answered as before.
@@ -65,6 +67,7 @@
 
 	description []byte // for the node; until the session has its answer
 	via         uint64 // loose: the connection that it came on
+	stands      bool   // loose: that one counts it among what plays
 }
 
 type legPhase int
@@ -175,12 +178,13 @@
 }
 
 // busy counts the sessions of a connection: with one, it is never let go.
-func (l *Loop) busy(c *conn, by int32) {
-	c.live += by
-	switch {
-	case c.live == 1 && by > 0:
+func (l *Loop) busy(c *conn, live, standing int32) {
+	before := c.live + c.standing
+	c.live, c.standing = c.live+live, c.standing+standing
+	switch after := c.live + c.standing; {
+	case before == 0 && after > 0:
 		l.limit(limits.Event{What: limits.Busy, Conn: int(c.seat)})
-	case c.live == 0:
+	case before > 0 && after == 0:
 		l.limit(limits.Event{What: limits.Idle, Conn: int(c.seat)})
 	}
 }
@@ -306,7 +310,7 @@
 		s.name = m.ID
 	}
 	r.session = s
-	l.busy(c, +1)
+	l.busy(c, +1, 0)
 	l.sessions[s.id], l.keys[s.key] = s, s
 	l.owed++
 	s.answer = l.timers.Add(stop, due{timerAnswer, s.id})
@@ -330,7 +334,7 @@
 	l.unhand(s)
 	s.conn, s.request = c, id
 	c.requests[id].session = s
-	l.busy(c, +1)
+	l.busy(c, +1, 0)
 	if s.linger != 0 {
 		l.timers.Cancel(s.linger)
 		s.linger = 0
@@ -351,7 +355,7 @@
 // unhand takes a session off its connection.
 func (l *Loop) unhand(s *session) {
 	if c := s.conn; c != nil {
-		l.busy(c, -1)
+		l.busy(c, -1, 0)
 		if r := c.requests[s.request]; r != nil {
 			r.session = nil
 		}
@@ -491,6 +495,9 @@
 	}
 	l.move(s, over)
 	l.unhand(s)
+	if c := l.conns[s.via]; c != nil && s.stands {
+		l.busy(c, 0, -1)
+	}
 	l.timers.Cancel(s.answer)
 	l.timers.Cancel(s.linger)
 	delete(l.sessions, s.id)
@@ -531,8 +538,9 @@
 	case n.up && n.greeted && !n.trying:
 		l.send(g)
 	case n.up, n.trying: // or its connection is doubted: one that is proven anew is as good
+	case l.needed(n):
 	default:
-		l.legEnds(g, fateUnmade, nil)
+		l.legEnds(g, l.unmade(n), nil)
 	}
 }
 
@@ -540,7 +548,7 @@
 func (l *Loop) send(g *leg) {
 	s := g.session
 	l.moveLeg(g, legSent)
-	g.link = g.node.link
+	g.link, g.node.used = g.node.link, l.now
 	l.do(TellNode{Link: g.link, Setup: g.id, Message: wire.Node{
 		Type: wire.Setup, Leg: g.id, Session: s.name, Tariff: l.tariffs[s.tariff].Name, Title: s.title,
 		Rung: s.rung, Rate: l.rateOf(s), Within: max(1, (g.stop - l.now).Milliseconds()), Length: s.length.Milliseconds(),
@@ -587,7 +595,7 @@
 func (l *Loop) legOverdue(g *leg) {
 	switch g.phase {
 	case legWaiting:
-		l.legEnds(g, fateUnmade, nil)
+		l.legEnds(g, l.unmade(g.node), nil)
 	case legSent:
 		l.callOff(g)
 		n := g.node
@@ -611,7 +619,7 @@
 	l.settleAnswer(s, &answer, description...)
 	if l.manners.Loose {
 		if s.conn != nil {
-			l.trusted = s.conn.number
+			l.stands(s, s.conn)
 		}
 		l.unhand(s)
 	}
@@ -661,6 +669,7 @@
 	}
 	l.tell(policy.Result{ID: s.id, Node: n.name, Outcome: outcome, Final: final, Load: loadOf(load)})
 	l.dropLink(n)
+	l.needed(n)
 	l.dropNode(n)
 }
 
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -239,7 +239,7 @@
 	reach   *reach.Reach
 	ring    alarm.Handle // the one for reach
 	ringAt  time.Duration
-	ping    time.Duration
+	pace    reach.Pace
 	limits  *limits.Limits
 	line    *limits.Line
 
@@ -263,7 +263,7 @@
 	listed   bool             // a whole list has come
 
 	untold  []untold // endings that no player's connection was there for; emptied as they are told, or grow old
-	trusted uint64   // the connection on which an answer that it plays was last given; 0: none
+	trusted uint64   // the connection on which a session that plays came last; 0: none
 
 	lastSession, lastLeg, lastLink uint64
 
@@ -280,7 +280,7 @@
 	ladder policy.Ladder, manners Manners, pace reach.Pace, term closing.Term, room limits.Room, queue limits.Queue) *Loop {
 	l := &Loop{
 		name: name, boot: boot, module: module, tariffs: tariffs, ladder: ladder, manners: manners, term: term,
-		tariff: map[string]int{}, kind: map[string]int{}, reach: reach.New(seed, pace), ping: pace.Ping,
+		tariff: map[string]int{}, kind: map[string]int{}, reach: reach.New(seed, pace), pace: pace,
 		limits: limits.New(seed, room), line: limits.NewLine(seed, queue),
 		conns: map[uint64]*conn{}, sessions: map[uint64]*session{}, keys: map[string]*session{},
 		legs: map[uint64]*leg{}, nodes: map[string]*node{}, links: map[uint64]*node{},
@@ -347,7 +347,7 @@
 	case PlayerOpened:
 		if c := l.conns[e.Conn]; c != nil {
 			l.limit(limits.Event{What: limits.Shook, Conn: int(c.seat)})
-			l.tellUntold(c)
+			l.tellUntold(c, l.now-strangersAfter)
 		}
 	case Memory:
 		l.limit(limits.Event{What: limits.Measure, Memory: e.Bytes})
@@ -468,10 +468,16 @@
 	case timerPing:
 		if n := l.links[t.id]; n != nil && n.up && n.link == t.id {
 			l.do(AskAlive{t.id})
-			n.ping = l.timers.Add(l.now+l.ping, due{timerPing, t.id})
+			n.ping = l.timers.Add(l.now+l.pace.Ping, due{timerPing, t.id})
+		}
+	case timerIdle:
+		if n := l.links[t.id]; n != nil && n.up && n.link == t.id {
+			l.idled(n)
 		}
 	case timerClose:
 		l.close()
+	case timerUntold:
+		l.tellStrangers()
 	}
 }
 
--- a/internal/director/loose.go
+++ b/internal/director/loose.go
@@ -22,14 +22,19 @@
 // in time and where a node with sessions has been quiet for too long, and is then checked by making another one, which
 // takes its place.
 
-// An untold is an ending that no player's connection was there for.
+// An untold is an ending that no player's connection was there for, or none that anything has played on.
 type untold struct {
 	message wire.Session
 	until   time.Duration
 }
 
-// untoldFor is how long an ending is kept for want of a connection. It bounds how many there are.
-const untoldFor = 8 * time.Second
+// untoldFor is how long an ending is kept for want of a connection. It bounds how many there are. For want of a
+// connection that anything has played on it is kept for strangersAfter: any player may be told, but one who only
+// holds a connection may not pass it on.
+const (
+	untoldFor      = 8 * time.Second
+	strangersAfter = 500 * time.Millisecond
+)
 
 // endsMost is how many sessions that a node is still to be told to end are kept for it.
 const endsMost = 1024
@@ -89,6 +94,8 @@
 	s.leg = g
 	l.sessions[s.id], l.keys[s.key], l.legs[g.id], n.legs[g.id] = s, s, g, g
 	l.playing++
+	l.stands(s, c)
+	l.needed(n)
 	top := len(l.ladder.Rates) - 1
 	if m.Top != nil {
 		top = min(top, *m.Top)
@@ -99,8 +106,16 @@
 	})
 }
 
-// tellOver tells a player that its session has ended: on the connection that it came on, on the one that last did
-// well, on any, or once there is one.
+// stands notes that a session that came on a connection plays: it is not let go before that is over, and what there was
+// nobody for can be told there.
+func (l *Loop) stands(s *session, c *conn) {
+	s.stands, c.proven, l.trusted = true, true, c.number
+	l.busy(c, 0, +1)
+	l.tellUntold(c, l.now)
+}
+
+// tellOver tells a player that its session has ended: on the connection that it came on, on the one that something
+// played on last, on any such, or once there is one.
 func (l *Loop) tellOver(s *session, why string) {
 	m := wire.Session{Type: wire.Over, ID: s.request, Session: s.name, Why: why}
 	for _, number := range [...]uint64{s.via, l.trusted} {
@@ -109,23 +124,40 @@
 			return
 		}
 	}
-	for _, number := range l.seats {
-		if c := l.conns[number]; c != nil && !c.leaving {
-			l.do(TellPlayer{Conn: number, Message: m})
-			return
-		}
+	if c := l.anyConn(func(c *conn) bool { return c.proven }); c != nil {
+		l.do(TellPlayer{Conn: c.number, Message: m})
+		return
 	}
 	l.untold = append(l.untold, untold{m, l.now + untoldFor})
 	l.forgetUntold()
+	l.timers.Add(l.now+strangersAfter, due{timerUntold, 0})
+}
+
+// anyConn finds a connection that is not told to go.
+func (l *Loop) anyConn(fits func(c *conn) bool) *conn {
+	for _, number := range l.seats {
+		if c := l.conns[number]; c != nil && !c.leaving && fits(c) {
+			return c
+		}
+	}
+	return nil
+}
+
+// tellStrangers tells any player there is what has waited for long enough for one that something has played on.
+func (l *Loop) tellStrangers() {
+	if c := l.anyConn(func(*conn) bool { return true }); c != nil {
+		l.tellUntold(c, l.now-strangersAfter)
+	}
 }
 
-// tellUntold tells a player who has just come what there was nobody for.
-func (l *Loop) tellUntold(c *conn) {
+// tellUntold tells a player what there was nobody for at a time, or earlier.
+func (l *Loop) tellUntold(c *conn, since time.Duration) {
 	l.forgetUntold()
-	for _, u := range l.untold {
-		l.do(TellPlayer{Conn: c.number, Message: u.message})
+	told := 0
+	for ; told < len(l.untold) && l.untold[told].until-untoldFor <= since; told++ {
+		l.do(TellPlayer{Conn: c.number, Message: l.untold[told].message})
 	}
-	l.untold = nil
+	l.untold = l.untold[told:]
 }
 
 // forgetUntold drops what is too old to be told; the oldest comes first.
@@ -159,6 +191,7 @@
 		l.do(TellNode{Link: n.link, Message: m})
 	case len(n.ends) < endsMost:
 		n.ends = append(n.ends, m)
+		l.needed(n)
 	}
 }
 
@@ -183,7 +216,8 @@
 // sent on it have ended.
 func (l *Loop) replaceLink(n *node) {
 	l.timers.Cancel(n.ping)
-	n.ping = alarm.Handle(0)
+	l.timers.Cancel(n.idle)
+	n.ping, n.idle = alarm.Handle(0), alarm.Handle(0)
 	if n.old != 0 {
 		l.do(HangUp{n.old})
 		l.linkLost(LinkLost{Link: n.old})
@@ -219,13 +253,13 @@
 			l.legEnds(g, fateBroken, nil)
 		}
 	}
+	l.needed(n)
 }
 
 // restarted ends what plays at a node since before it started anew, and a connection from before with it.
 func (l *Loop) restarted(n *node) {
 	if n.up && n.made < n.born {
-		l.do(HangUp{n.link})
-		l.linkLost(LinkLost{Link: n.link})
+		l.hangUp(n)
 	}
 	for _, g := range sorted(n.legs) {
 		if g.phase == legPlaying && g.began < n.born {
--- a/internal/director/loose_test.go
+++ b/internal/director/loose_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"fordusher/internal/wire"
+	"fordusher/limits"
 )
 
 // newLoose is a stage where what plays belongs to no connection.
@@ -68,6 +69,7 @@
 	}
 	s.do(LinkMade{name(0), s.links[name(0)]})
 	s.do(says(s.links[name(0)], "a", wire.Ended))
+	s.pass(strangersAfter) // nothing has played on the only connection there is
 	if over := s.told(wire.Over); len(over) != 1 || over[0].ID != "a" || over[0].Why != WhyEnded {
 		t.Fatalf("%+v", over)
 	}
@@ -84,6 +86,14 @@
 		t.Fatal("told to nobody")
 	}
 	s.enter(2)
+	if len(s.told(wire.Over)) != 0 {
+		t.Fatal("told at once to one who may only hold a connection")
+	}
+	s.pass(strangersAfter - 1)
+	if len(s.told(wire.Over)) != 0 {
+		t.Fatal("told too soon to one who may only hold a connection")
+	}
+	s.pass(1)
 	if len(s.told(wire.Over)) != 1 {
 		t.Fatal("not told")
 	}
@@ -97,6 +107,76 @@
 	}
 }
 
+// It guards endings among hundreds who hold a connection and nothing else: one on which something has played is told.
+func TestAnEndingGoesWhereSomethingHasPlayed(t *testing.T) {
+	s := newLoose(t, 1)
+	for conn := uint64(2); conn < 20; conn++ {
+		s.enter(conn)
+	}
+	g := s.plays("a", "clip")
+	s.plays2(15, "b")
+	s.plays2(16, "c")
+	s.do(PlayerClosed{1})
+	s.do(PlayerClosed{16})
+	s.do(says(g.Link, "a", wire.Ended))
+	if at := s.toldOver(); len(at) != 1 || at[0] != 15 {
+		t.Fatalf("told on %v", at)
+	}
+	// Nobody is left on whose connection anything has played, until there is one.
+	s.do(PlayerClosed{15})
+	s.do(says(g.Link, "b", wire.Ended))
+	s.asks(17, "d", "clip")
+	d := s.oneLeg()
+	s.forget()
+	s.do(says(d.Link, "d", wire.Accepted))
+	if at := s.toldOver(); len(at) != 1 || at[0] != 17 {
+		t.Fatalf("told on %v", at)
+	}
+}
+
+// toldOver is the connections on which an ending was told.
+func (s *stage) toldOver() (conns []uint64) {
+	for _, o := range s.out {
+		if m, ok := o.(TellPlayer); ok && m.Message.Type == wire.Over {
+			conns = append(conns, m.Conn)
+		}
+	}
+	return conns
+}
+
+// It guards the connection that a session came on, on which its ending is awaited, when room gets short.
+func TestAConnectionWithWhatPlaysIsNotLetGo(t *testing.T) {
+	s := newLoose(t, 1)
+	s.loop.limits = limits.New(1, limits.Room{Connections: 10, Handshakes: 10, Ping: time.Hour, Patience: time.Second,
+		Handshake: time.Second, Retry: time.Second})
+	s.do(PlayerClosed{1})
+	s.enter(1)
+	g := s.plays("a", "clip")
+	s.pass(5 * time.Second)
+	let := map[uint64]bool{}
+	s.forget()
+	for conn := uint64(2); conn < 12; conn++ {
+		s.enter(conn)
+		s.pass(2 * time.Second)
+	}
+	for _, o := range s.all {
+		if m, ok := o.(ClosePlayer); ok {
+			let[m.Conn] = true
+		}
+	}
+	if let[1] || !let[2] {
+		t.Fatalf("let go: %v", let)
+	}
+	s.forget()
+	s.do(says(g.Link, "a", wire.Ended))
+	if at := s.toldOver(); len(at) != 1 || at[0] != 1 {
+		t.Fatalf("told on %v", at)
+	}
+	if _, busy, _ := s.loop.Room(); busy != 0 {
+		t.Fatalf("%d are busy", busy)
+	}
+}
+
 func (s *stage) plays2(conn uint64, id string) TellNode {
 	s.t.Helper()
 	s.forget()
--- a/internal/director/nodes.go
+++ b/internal/director/nodes.go
@@ -36,6 +36,10 @@
 	old     uint64        // loose: the connection before, until the set-ups sent on it have ended
 	ends    []wire.Node   // loose: what is still to be called off there; emptied by the next connection
 	ping    alarm.Handle
+	idle    alarm.Handle    // looks whether the connection has been idle for too long
+	used    time.Duration   // when anything last went either way
+	needs   bool            // where connections are made on need: there is something to be done there
+	suspect bool            // the last tries to connect speak against it
 	legs    map[uint64]*leg // emptied as legs end
 }
 
@@ -58,7 +62,7 @@
 }
 
 // reached tells package reach what happened and carries out its plan.
-func (l *Loop) reached(e reach.Event) (giveUp bool) {
+func (l *Loop) reached(e reach.Event) reach.Plan {
 	plan := l.reach.Step(l.now, e)
 	for _, place := range plan.Dial {
 		n := l.places[place]
@@ -80,7 +84,52 @@
 		l.ringAt = plan.Ring
 		l.ring = l.timers.Add(plan.Ring, due{timerReach, 0})
 	}
-	return plan.GiveUp
+	return plan
+}
+
+// needed tells package reach whether there is anything to be done at a node, where connections are made on need, and
+// says whether one is being made.
+func (l *Loop) needed(n *node) (coming bool) {
+	needs := len(n.legs) > 0 || len(n.ends) > 0
+	if !l.pace.OnNeed || !needs && !n.needs {
+		return false
+	}
+	n.needs = needs
+	what := reach.Unneeded
+	if needs {
+		what = reach.Needed
+	}
+	return !l.reached(reach.Event{Node: n.place, What: what}).Paused && n.listed
+}
+
+// unmade is the fate of a leg whose node could not be connected to.
+func (l *Loop) unmade(n *node) fate {
+	if l.pace.OnNeed && !n.suspect {
+		return fateMissed
+	}
+	return fateUnmade
+}
+
+// idled looks at a connection on which nothing has moved for long. It is hung up on before the node does that; where
+// something plays there another one is made first.
+func (l *Loop) idled(n *node) {
+	next := n.used + l.pace.Keep
+	if next <= l.now && !n.needs {
+		l.hangUp(n)
+		return
+	}
+	if next <= l.now {
+		l.doubt(n, n.link)
+		next = l.now + l.pace.Keep
+	}
+	n.idle = l.timers.Add(next, due{timerIdle, n.link})
+}
+
+// hangUp ends the connection to a node.
+func (l *Loop) hangUp(n *node) {
+	link := n.link
+	l.do(HangUp{link})
+	l.linkLost(LinkLost{Link: link})
 }
 
 func (l *Loop) linkMade(e LinkMade) {
@@ -98,17 +147,19 @@
 		l.dead(n)
 		return
 	}
-	n.trying, n.up, n.greeted, n.made = false, true, l.manners.Greetless, l.now
-	if l.ping > 0 {
-		n.ping = l.timers.Add(l.now+l.ping, due{timerPing, e.Link})
+	n.trying, n.up, n.greeted, n.made, n.used, n.suspect = false, true, l.manners.Greetless, l.now, l.now, false
+	if l.pace.Ping > 0 {
+		n.ping = l.timers.Add(l.now+l.pace.Ping, due{timerPing, e.Link})
+	}
+	if l.pace.OnNeed && l.pace.Keep > 0 {
+		n.idle = l.timers.Add(l.now+l.pace.Keep, due{timerIdle, e.Link})
 	}
 	if !l.manners.Greetless {
 		l.do(TellNode{Link: e.Link, Message: wire.Node{Type: wire.Hello, Director: l.name}})
 	}
 	l.reached(reach.Event{Node: n.place, What: reach.Made})
 	if n.dialled != n.address { // the list has moved it meanwhile
-		l.do(HangUp{e.Link})
-		l.linkLost(LinkLost{Link: e.Link})
+		l.hangUp(n)
 		return
 	}
 	for _, g := range sorted(n.legs) {
@@ -125,6 +176,7 @@
 		l.do(TellNode{Link: e.Link, Message: m})
 	}
 	n.ends = nil
+	l.needed(n)
 	l.dropNode(n)
 }
 
@@ -143,15 +195,16 @@
 		l.cutLegs(n, n.link, nil)
 		n.up, n.greeted = false, false
 		l.timers.Cancel(n.ping)
+		l.timers.Cancel(n.idle)
 	}
 	what := reach.Failed
 	if e.Refused {
 		what = reach.Refused
 	}
-	l.reached(reach.Event{Node: n.place, What: what})
+	n.suspect = l.reached(reach.Event{Node: n.place, What: what}).Suspect
 	for _, g := range sorted(n.legs) {
 		if g.phase == legWaiting {
-			l.legEnds(g, fateUnmade, nil)
+			l.legEnds(g, l.unmade(n), nil)
 		}
 	}
 	l.dropNode(n)
@@ -173,12 +226,14 @@
 	}
 	n.up, n.greeted, n.reached = false, false, 0
 	l.timers.Cancel(n.ping)
+	l.timers.Cancel(n.idle)
 	if n.check != 0 { // the try beside it goes on in its place
 		n.link, n.check = n.check, 0
 		l.cutLegs(n, e.Link, e.Unsent)
 		l.dropNode(n)
 		return
 	}
+	l.outlives(n, e.Link)
 	if n.listed {
 		l.reached(reach.Event{Node: n.place, What: reach.Lost})
 	} else {
@@ -191,6 +246,21 @@
 	l.dropNode(n)
 }
 
+// outlives tells package reach of a connection that has ended with all there was to do on it, before it hears of that:
+// another one is not needed.
+func (l *Loop) outlives(n *node, link uint64) {
+	if !n.needs || len(n.ends) > 0 {
+		return
+	}
+	for _, g := range n.legs {
+		if g.phase != legSent || g.link != link {
+			return
+		}
+	}
+	n.needs = false
+	l.reached(reach.Event{Node: n.place, What: reach.Unneeded})
+}
+
 // cutLegs ends what a node's connection takes with it.
 func (l *Loop) cutLegs(n *node, link uint64, unsent []uint64) {
 	for _, g := range sorted(n.legs) {
@@ -202,7 +272,7 @@
 			l.legEnds(g, fateReset, nil)
 		case l.manners.Loose: // it plays on, and what waits goes by the next connection
 			if g.phase == legWaiting && !n.trying && !n.up {
-				l.legEnds(g, fateUnmade, nil)
+				l.legEnds(g, l.unmade(n), nil)
 			}
 		case g.phase == legPlaying:
 			l.legEnds(g, fateBroken, nil)
@@ -215,10 +285,10 @@
 // linkAlive hangs up on a node that has been quiet for too long.
 func (l *Loop) linkAlive(e LinkAlive) {
 	if n := l.links[e.Link]; n != nil && n.up && l.manners.Loose {
-		if l.reached(reach.Event{Node: n.place, What: reach.Heard, Ago: e.Quiet}) && l.playsSince(n, l.now-e.Quiet) {
+		if l.reached(reach.Event{Node: n.place, What: reach.Heard, Ago: e.Quiet}).GiveUp && l.playsSince(n, l.now-e.Quiet) {
 			l.doubt(n, e.Link)
 		}
-	} else if n != nil && n.up && l.reached(reach.Event{Node: n.place, What: reach.Heard, Ago: e.Quiet}) {
+	} else if n != nil && n.up && l.reached(reach.Event{Node: n.place, What: reach.Heard, Ago: e.Quiet}).GiveUp {
 		l.log("node %s has been quiet for %v: its connection is given up, %d legs with it", n.name,
 			e.Quiet.Round(time.Millisecond), len(n.legs))
 		l.do(HangUp{e.Link})
@@ -231,6 +301,7 @@
 	if n == nil {
 		return
 	}
+	n.used = l.now
 	if m.Type == wire.Hello {
 		l.hello(n, m)
 		return
@@ -459,8 +530,7 @@
 			n.address = e.Address
 		}
 		if n.up && (moved || n.reached != 0 && n.reached != e.Start) {
-			l.do(HangUp{n.link}) // it leads to what no longer runs
-			l.linkLost(LinkLost{Link: n.link})
+			l.hangUp(n) // it leads to what no longer runs
 		}
 		n.listed = true
 		if !n.up {
@@ -516,7 +586,6 @@
 		delete(l.links, n.old)
 	}
 	if n.up {
-		l.do(HangUp{n.link})
-		l.linkLost(LinkLost{Link: n.link})
+		l.hangUp(n)
 	}
 }
--- a/internal/director/proof.go
+++ b/internal/director/proof.go
@@ -8,6 +8,7 @@
 const (
 	fateFull      fate = iota // the node turned it away unseen
 	fateUnmade                // its node could not be connected to
+	fateMissed                // one try to connect failed, which says little of the node
 	fateWithdrawn             // taken back before one byte was handed to the kernel
 	fateUnsent                // the connection ended before one byte was handed to the kernel
 	fateNew                   // its node turned out to have started anew, and nothing of it was handed over yet
@@ -42,6 +43,8 @@
 		return policy.Full, 1
 	case fateUnmade:
 		return policy.Unconnected, 2
+	case fateMissed:
+		return policy.Moot, 2
 	case fateWithdrawn:
 		return policy.Unconnected, 3
 	case fateUnsent:
--- a/internal/director/timers.go
+++ b/internal/director/timers.go
@@ -11,7 +11,9 @@
 	timerLinger
 	timerReach
 	timerPing
+	timerIdle
 	timerClose
+	timerUntold
 )
 
 // A due is what a timer is for. There are no more than a few for each session, leg and link: each is taken off with
--- a/internal/platform/start.go
+++ b/internal/platform/start.go
@@ -175,6 +175,7 @@
 	fewSockets   = 64
 	memoryPart   = 0.8 // of the limit: what the program may hold before it takes nobody more
 	forever      = 24 * time.Hour
+	keepPart     = 0.8 // of the time after which nodes close an idle connection: what is sent must not cross that
 )
 
 // House is what the loop and the daemon are told.
@@ -198,7 +199,10 @@
 	h.Manners = director.Manners{
 		AnswerAhead: answerAhead, Connect: connect, PerConnection: perViewer, Greetless: true, Loose: true,
 	}
-	h.Pace = reach.Pace{First: 100 * time.Millisecond, Most: time.Second, AtOnce: 64}
+	// Hundreds of directors see little traffic each: one that stood connected to every node would cost the nodes more
+	// handshakes and connections than sessions.
+	h.Pace = reach.Pace{First: 100 * time.Millisecond, Most: time.Second, AtOnce: 64, OnNeed: true}
+	h.Pace.Keep = time.Duration(keepPart * float64(simwire.Span(t.Permissions.Idle)))
 	if every := simwire.Span(t.Family.Every); every > 0 { // a node with sessions is heard so often
 		h.Pace.Ping = (every + time.Second) / 3
 	}
