One budget of descriptors; who knocks in vain is refused; an early request counts as busy

Cause: a request that comes with the knock is taken before the loop hears that the handshake is done (first lane and line of the inbox), and limits.change ignored Busy for a connection that still shakes hands: from then on it counted as idle. "0 busy" in the log line of every mode said so. Now Busy ends the handshake.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -464,6 +464,8 @@
 			}
 		case director.ClosePlayer:
 			if c := d.players[o.Conn]; c == nil {
+			} else if p, ok := c.Cookie().(*peer); ok && o.Idle && p.pending.Load() > 0 {
+				d.inbox.put(item{in: director.PlayerStays{Conn: o.Conn}})
 			} else if o.Code == 0 {
 				c.Cut()
 			} else {
@@ -512,7 +514,8 @@
 func (d *Daemon) connect(o director.Connect) {
 	h := &link{d: d, node: o.Node, peer: peer{number: o.Link}}
 	if _, err := d.front.DialNode(o.Address, o.Within, h); err != nil {
-		d.inbox.put(item{in: director.LinkFailed{Node: o.Node, Link: o.Link, Refused: errors.Is(err, syscall.ECONNREFUSED)}})
+		d.inbox.put(item{in: director.LinkFailed{Node: o.Node, Link: o.Link, Refused: errors.Is(err, syscall.ECONNREFUSED),
+			Crowded: errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)}})
 	}
 }
 
--- a/internal/director/account.go
+++ b/internal/director/account.go
@@ -19,6 +19,7 @@
 	standing int32               // loose: sessions that came on it and play
 	proven   bool                // loose: a session that came on it has played
 	seat     int32               // its small index, for the limits
+	turned   bool                // loose: there was no room for it; what it asks is refused for a moment, and it is leaving
 	leaving  bool                // it was told to go: what it asks from now on is not taken
 }
 
@@ -129,15 +130,28 @@
 
 // Players.
 
+// What a connection asks for which there is no room is refused for turnedFor, so that all that came at once has its
+// answer before it is closed. There are no more than turnedMost of those at a time.
+const (
+	turnedFor  = 20 * time.Millisecond
+	turnedMost = 16
+)
+
 // knocked asks the limits whether a player is let in.
 func (l *Loop) knocked(e PlayerKnocked) {
 	seat := int32(len(l.seats))
 	if n := len(l.unseated); n > 0 {
 		seat = l.unseated[n-1]
 	}
-	plan := l.limit(limits.Event{What: limits.Knock, Conn: int(seat), Address: e.Address})
+	plan := l.limit(limits.Event{What: limits.Knock, Conn: int(seat), Address: e.Address, Nodes: l.linkSockets()})
 	if !plan.Admit {
 		l.counts.TurnedAway++
+		if l.manners.Loose && l.turned < turnedMost { // it has knocked with a request, which is owed an answer
+			l.turned++
+			l.conns[e.Conn] = &conn{number: e.Conn, turned: true, leaving: true}
+			l.timers.Add(l.now+turnedFor, due{timerTurned, e.Conn})
+			return
+		}
 		l.do(TurnAway{e.Conn, plan.Retry, plan.Why})
 		return
 	}
@@ -169,7 +183,7 @@
 		if c := l.conns[l.seats[x.Conn]]; c != nil {
 			c.leaving = true
 		}
-		l.do(ClosePlayer{l.seats[x.Conn], x.Code, why})
+		l.do(ClosePlayer{Conn: l.seats[x.Conn], Code: x.Code, Why: why, Idle: x.Code != 1008})
 	}
 	if plan.Log != "" {
 		l.log("%s", plan.Log)
@@ -197,6 +211,10 @@
 		}
 		return
 	}
+	if c.turned {
+		l.refuse(c, e)
+		return
+	}
 	if c.leaving { // this crosses the word to go, which says when to come back
 		l.counts.Stray++
 		return
@@ -228,7 +246,7 @@
 		}
 	default:
 		l.counts.BadWord++
-		l.do(ClosePlayer{c.number, 1008, "players do not say " + m.Type})
+		l.do(ClosePlayer{Conn: c.number, Code: 1008, Why: "players do not say " + m.Type})
 	}
 }
 
@@ -383,6 +401,10 @@
 		return
 	}
 	delete(l.conns, number)
+	if c.turned {
+		l.turned--
+		return
+	}
 	l.limit(limits.Event{What: limits.Left, Conn: int(c.seat)})
 	l.seats[c.seat] = 0
 	l.unseated = append(l.unseated, c.seat)
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -55,6 +55,8 @@
 		Waited  time.Duration
 		Brought *Brought
 	}
+	// PlayerStays says that a player whom an idle ClosePlayer was meant for has said something meanwhile.
+	PlayerStays struct{ Conn uint64 }
 	// PlayerClosed says that a player's connection has ended.
 	PlayerClosed struct{ Conn uint64 }
 	// LinkMade says that a Connect succeeded.
@@ -63,11 +65,12 @@
 		Link uint64
 	}
 	// LinkFailed says that a Connect failed; nothing was sent on it. Refused: the machine answers, and
-	// nothing runs there.
+	// nothing runs there. Crowded: it was not tried for want of descriptors here.
 	LinkFailed struct {
 		Node    string
 		Link    uint64
 		Refused bool
+		Crowded bool
 	}
 	// LinkSaid is a message from a node, with what describes the session where it is accepted.
 	LinkSaid struct {
@@ -110,6 +113,7 @@
 func (Memory) input()        {}
 func (PlayerSaid) input()    {}
 func (PlayerClosed) input()  {}
+func (PlayerStays) input()   {}
 func (LinkMade) input()      {}
 func (LinkFailed) input()    {}
 func (LinkSaid) input()      {}
@@ -152,11 +156,13 @@
 		Retry time.Duration
 		Why   string
 	}
-	// ClosePlayer ends a player's connection, with the code of RFC 6455 and a reason; code 0 cuts it.
+	// ClosePlayer ends a player's connection, with the code of RFC 6455 and a reason; code 0 cuts it. Idle: only
+	// because nothing is to be done for it; PlayerStays answers where something it said is still on its way here.
 	ClosePlayer struct {
 		Conn uint64
 		Code int
 		Why  string
+		Idle bool
 	}
 	// Connect asks for a connection to a node; LinkMade or LinkFailed answers it within the time.
 	Connect struct {
@@ -262,6 +268,7 @@
 	titles   map[string]title // as long as the list's catalogue
 	listed   bool             // a whole list has come
 
+	turned  int      // connections that were turned away and not closed yet
 	untold  []untold // endings that no player's connection was there for; emptied as they are told, or grow old
 	trusted uint64   // the connection on which a session that plays came last; 0: none
 
@@ -350,11 +357,16 @@
 			l.tellUntold(c, l.now-strangersAfter)
 		}
 	case Memory:
-		l.limit(limits.Event{What: limits.Measure, Memory: e.Bytes})
+		l.limit(limits.Event{What: limits.Measure, Memory: e.Bytes, Nodes: l.linkSockets()})
 	case PlayerSaid:
 		l.playerSaid(e)
 	case PlayerClosed:
 		l.playerClosed(e.Conn)
+	case PlayerStays:
+		if c := l.conns[e.Conn]; c != nil && c.leaving && !c.turned {
+			c.leaving = false
+			l.limit(limits.Event{What: limits.Stays, Conn: int(c.seat)})
+		}
 	case PlayerAlive:
 		if c := l.conns[e.Conn]; c != nil {
 			l.limit(limits.Event{What: limits.Heard, Conn: int(c.seat), Ago: e.Quiet})
@@ -478,6 +490,10 @@
 		l.close()
 	case timerUntold:
 		l.tellStrangers()
+	case timerTurned:
+		if c := l.conns[t.id]; c != nil && c.turned {
+			l.do(ClosePlayer{Conn: t.id, Code: 1013, Why: "no room"})
+		}
 	}
 }
 
@@ -531,7 +547,7 @@
 	if plan.Done {
 		l.ended = true
 		for conn := range sorted(l.conns) {
-			l.do(ClosePlayer{conn, 1001, "director closes"})
+			l.do(ClosePlayer{Conn: conn, Code: 1001, Why: "director closes"})
 		}
 		l.do(Ended{})
 		return
--- a/internal/director/loose.go
+++ b/internal/director/loose.go
@@ -70,6 +70,18 @@
 	}
 }
 
+// refuse answers who was turned away. Endings, and what plays already, need no connection.
+func (l *Loop) refuse(c *conn, e PlayerSaid) {
+	switch s := l.keys[e.Message.ID]; {
+	case e.Message.Type != wire.Want || e.Brought.Playing != "":
+		l.looseSaid(c, e)
+	case s != nil:
+		l.do(TellPlayer{Conn: c.number, Message: wire.Session{Type: wire.Errored, ID: e.Message.ID, Why: "id is in use"}})
+	default:
+		l.do(TellPlayer{Conn: c.number, Message: wire.Session{Type: wire.Nack, ID: e.Message.ID, Why: "no room"}})
+	}
+}
+
 // handed takes a session that plays already.
 func (l *Loop) handed(c *conn, e PlayerSaid) {
 	m, b := e.Message, e.Brought
@@ -109,6 +121,9 @@
 // stands notes that a session that came on a connection plays: it is not let go before that is over, and what there was
 // nobody for can be told there.
 func (l *Loop) stands(s *session, c *conn) {
+	if c.turned {
+		return
+	}
 	s.stands, c.proven, l.trusted = true, true, c.number
 	l.busy(c, 0, +1)
 	l.tellUntold(c, l.now)
--- a/internal/director/loose_test.go
+++ b/internal/director/loose_test.go
@@ -548,3 +548,57 @@
 		t.Fatal("it plays on for nobody")
 	}
 }
+
+// It guards requests of newcomers against a close without an answer: beyond a few in a thousand those are lost.
+func TestWhoKnocksInVainIsRefused(t *testing.T) {
+	s := newLoose(t, 1)
+	s.loop.limits = limits.New(1, limits.Room{Connections: 1, Handshakes: 1, Ping: time.Hour, Patience: time.Second,
+		Handshake: time.Second, Retry: time.Second})
+	s.do(PlayerClosed{1})
+	s.enter(1)
+	s.plays("a", "clip") // there is room for one
+	s.do(PlayerKnocked{Conn: 2})
+	s.asks(2, "b", "clip")
+	s.asks(2, "c", "exam")
+	if got := s.told(wire.Nack); len(got) != 2 || got[0].ID != "b" || got[1].ID != "c" || len(s.setups()) != 0 {
+		t.Fatalf("%+v, %d set-ups", got, len(s.setups()))
+	}
+	s.do(PlayerSaid{Conn: 2, Message: wire.Session{Type: wire.Leave, ID: "a"}}) // an ending needs no room
+	if s.loop.playing != 0 {
+		t.Fatal("it plays on")
+	}
+	s.pass(turnedFor)
+	closed := 0
+	for _, o := range s.all {
+		if m, ok := o.(ClosePlayer); ok && m.Conn == 2 {
+			closed++
+		}
+	}
+	s.do(PlayerClosed{2})
+	if closed != 1 || s.loop.turned != 0 || len(s.loop.conns) != 1 {
+		t.Fatalf("closed %d times, %d turned away, %d connections", closed, s.loop.turned, len(s.loop.conns))
+	}
+}
+
+// It guards a request that is on its way to the loop when its connection is let go for want of room.
+func TestWhoSaysSomethingMeanwhileIsServed(t *testing.T) {
+	s := newOnNeed(t, 1, 3)
+	s.pass(time.Second) // with room for one, it is full
+	var let []uint64
+	for _, o := range s.all {
+		if m, ok := o.(ClosePlayer); ok && m.Idle {
+			let = append(let, m.Conn)
+		}
+	}
+	if len(let) == 0 || let[0] != 1 {
+		t.Fatalf("let go: %v", let)
+	}
+	s.forget()
+	s.do(PlayerStays{1})
+	s.asks(1, "b", "clip")
+	if len(s.dials()) != 1 {
+		t.Fatal("it was not taken")
+	}
+	s.do(LinkMade{name(0), s.links[name(0)]})
+	s.oneLeg()
+}
--- a/internal/director/nodes.go
+++ b/internal/director/nodes.go
@@ -9,6 +9,7 @@
 
 	"fordusher/internal/alarm"
 	"fordusher/internal/wire"
+	"fordusher/limits"
 	"fordusher/policy"
 	"fordusher/reach"
 )
@@ -64,8 +65,12 @@
 // reached tells package reach what happened and carries out its plan.
 func (l *Loop) reached(e reach.Event) reach.Plan {
 	plan := l.reach.Step(l.now, e)
-	for _, place := range plan.Dial {
+	for _, place := range slices.Clone(plan.Dial) { // what follows may ask for another plan
 		n := l.places[place]
+		if !l.roomForLink() {
+			l.crowded(n)
+			continue
+		}
 		l.lastLink++
 		n.trying, n.dialled = true, n.address
 		if n.up { // one to check on it by
@@ -76,7 +81,7 @@
 		l.links[l.lastLink] = n
 		l.do(Connect{n.name, n.address, l.lastLink, l.manners.Connect})
 	}
-	for _, place := range plan.Dead {
+	for _, place := range slices.Clone(plan.Dead) {
 		l.dead(l.places[place])
 	}
 	if plan.Ring > 0 && (l.ring == 0 || plan.Ring < l.ringAt) {
@@ -87,6 +92,36 @@
 	return plan
 }
 
+// linkSockets is how many descriptors connections to nodes hold.
+func (l *Loop) linkSockets() int { return len(l.links) + l.reach.Tries() }
+
+// roomForLink asks the limits for one more connection to a node.
+func (l *Loop) roomForLink() bool {
+	var spare *node // the one that has had nothing to do for longest
+	for _, n := range l.nodes {
+		if n.up && !n.needs && !n.trying && n.old == 0 && l.pace.OnNeed &&
+			(spare == nil || n.used < spare.used || n.used == spare.used && n.name < spare.name) {
+			spare = n
+		}
+	}
+	// The try itself is counted already, once.
+	plan := l.limit(limits.Event{What: limits.Dial, Nodes: l.linkSockets() - 1, Spare: spare != nil})
+	if plan.HangUp {
+		l.hangUp(spare)
+	}
+	return plan.Admit
+}
+
+// crowded is for a node that can't be connected to for want of descriptors.
+func (l *Loop) crowded(n *node) {
+	l.reached(reach.Event{Node: n.place, What: reach.Crowded})
+	for _, g := range sorted(n.legs) {
+		if g.phase == legWaiting && !n.trying {
+			l.legEnds(g, fateMissed, nil)
+		}
+	}
+}
+
 // needed tells package reach whether there is anything to be done at a node, where connections are made on need, and
 // says whether one is being made.
 func (l *Loop) needed(n *node) (coming bool) {
@@ -187,6 +222,14 @@
 	}
 	delete(l.links, e.Link)
 	n.trying = false
+	if e.Crowded {
+		if n.check == e.Link {
+			n.check = 0
+		}
+		l.crowded(n)
+		l.dropNode(n)
+		return
+	}
 	if n.check == e.Link { // the connection that was doubted leads nowhere either
 		n.check = 0
 		l.log("node %s can't be connected to again: its connection is given up, %d legs on it", n.name, len(n.legs))
--- a/internal/director/stage_test.go
+++ b/internal/director/stage_test.go
@@ -36,7 +36,10 @@
 	{"exam", policy.Tariff{GoalTime: time.Second, HardStop: 2 * time.Second, Credit: 3, Scale: 1, Top: 2, Floor: 1, Paid: true, Seats: 2}},
 }
 
-func newStage(t failer, nodes int) *stage {
+func newStage(t failer, nodes int) *stage { return newStageWith(t, nodes, func(*Loop) {}) }
+
+// newStageWith changes the loop before it hears of anything.
+func newStageWith(t failer, nodes int, change func(l *Loop)) *stage {
 	ladder := policy.Ladder{Rates: []float64{100, 200, 400}, JoinAdds: 1}
 	fleet := policy.Fleet{Cells: 8, Racks: 2, LinkUnit: 10_000, Uplink: 100_000}
 	ramp := policy.Ramp{Places: []float64{100}, Warmup: time.Second, ColdFrom: 0.5, Multiple: 4, TipAfter: 500 * ms}
@@ -52,13 +55,16 @@
 		reach.Pace{First: 100 * ms, Most: time.Second, AtOnce: 8, Ping: time.Second}, closing.Term{Within: 2 * time.Second, Slice: 100 * ms},
 		limits.Room{Connections: 1000, Handshakes: 100, Ping: 10 * time.Second, Patience: time.Minute, Handshake: time.Second, Retry: 10 * time.Second},
 		limits.Queue{Wait: 200 * ms, Retry: 10 * time.Second})
+	change(s.loop)
 	var entries []wire.Entry
 	for i := range nodes {
 		entries = append(entries, up(i))
 	}
 	s.do(ListSaid{wire.List{Type: wire.Whole, Serial: 1, Nodes: entries, Titles: []wire.Title{{Title: "t", Base: 0, Copies: 8}}}})
 	for i := range nodes {
-		s.makeLink(name(i))
+		if s.links[name(i)] != 0 {
+			s.makeLink(name(i))
+		}
 	}
 	s.now += 1100 * ms // past the caution of a director that has just started
 	s.do(Tick{})
--- a/internal/director/timers.go
+++ b/internal/director/timers.go
@@ -14,6 +14,7 @@
 	timerIdle
 	timerClose
 	timerUntold
+	timerTurned
 )
 
 // A due is what a timer is for. There are no more than a few for each session, leg and link: each is taken off with
--- a/internal/platform/start.go
+++ b/internal/platform/start.go
@@ -159,23 +159,21 @@
 // What a front's connections may cost, beside the limits that the platform states. A viewer's connection that has said
 // nothing whole within silentMost is closed; the platform closes its own after 4 s.
 const (
-	silentMost   = 2 * time.Second
-	writeMost    = time.Second
-	viewerQueue  = 256 << 10
-	nodeQueue    = 256 << 10
-	kernelMost   = 64 << 10
-	boardQuiet   = 2200 * time.Millisecond
-	answerAhead  = 20 * time.Millisecond
-	perViewer    = 256
-	inboxMost    = 2048 // what is handed over at a start comes at once
-	nodeSockets  = 3    // for each media node: one standing, one being made, one being closed
-	nodesSpare   = 8    // that may come beyond the cells there are
-	socketsSpare = 32
-	silentShare  = 4 // the part of the room that may be silent
-	fewSockets   = 64
-	memoryPart   = 0.8 // of the limit: what the program may hold before it takes nobody more
-	forever      = 24 * time.Hour
-	keepPart     = 0.8 // of the time after which nodes close an idle connection: what is sent must not cross that
+	silentMost  = 2 * time.Second
+	writeMost   = time.Second
+	viewerQueue = 256 << 10
+	nodeQueue   = 256 << 10
+	kernelMost  = 64 << 10
+	boardQuiet  = 2200 * time.Millisecond
+	answerAhead = 20 * time.Millisecond
+	perViewer   = 256
+	inboxMost   = 2048 // what is handed over at a start comes at once
+	socketsKept = 40   // the program's files, pollers and listener, the board and who is being turned away
+	silentShare = 8    // the part of the descriptors that viewers who have said nothing yet may hold
+	fewSilent   = 16
+	memoryPart  = 0.8 // of the limit: what the program may hold before it takes nobody more
+	forever     = 24 * time.Hour
+	keepPart    = 0.8 // of the time after which nodes close an idle connection: what is sent must not cross that
 )
 
 // House is what the loop and the daemon are told.
@@ -211,10 +209,10 @@
 	if sockets == 0 {
 		sockets = 1024
 	}
-	room := max(fewSockets, sockets-nodeSockets*(t.Family.Cells+nodesSpare)-socketsSpare)
+	silent := max(fewSilent, sockets/silentShare)
 	h.Room = limits.Room{
-		Connections: room, Handshakes: room, Ping: forever, Patience: time.Second, Handshake: silentMost,
-		Retry: time.Second,
+		Connections: sockets, Handshakes: sockets, Ping: forever, Patience: time.Second, Handshake: silentMost,
+		Retry: time.Second, Displace: time.Second, Descriptors: sockets, Kept: socketsKept, Silent: silent,
 	}
 	if p.Limits.MemoryMB > 0 {
 		h.Room.Memory = int64(float64(p.Limits.MemoryMB<<20) * memoryPart)
@@ -222,7 +220,7 @@
 	h.Queue = limits.Queue{Wait: limits.Bearable(goals), Retry: time.Second}
 	h.Door = conf.Door{
 		Players: transport.Bounds{Message: messageMost, Queue: viewerQueue, Write: writeMost, Handshake: silentMost,
-			Kernel: kernelMost, Pending: max(16, room/silentShare)},
+			Kernel: kernelMost, Pending: silent},
 		Nodes: transport.Bounds{Message: messageMost, Queue: nodeQueue, Write: writeMost},
 		List:  transport.Bounds{Message: frameMost, Queue: nodeQueue, Write: writeMost},
 		Inbox: inboxMost,
--- a/limits/limits.go
+++ b/limits/limits.go
@@ -10,7 +10,14 @@
 //	         that double; once there is room, newcomers are let in by a trickle that doubles
 //
 // Never closed: a connection whose player has a session, a leg out or an answer owed (busy). Where all are
-// busy nobody is closed and newcomers wait outside.
+// busy nobody is closed and newcomers wait outside. Where Displace is given, a newcomer takes the place of the
+// longest idle instead, and nobody has to come in by a trickle.
+//
+// Where Descriptors is given, they are one budget for players and nodes together. First come what is Kept (the
+// program's own, the listener, the list's source) and those who have said nothing yet (Silent, which others bound);
+// then connections to nodes, each of which is asked for by Dial; players have what is left. Where there is nothing left
+// for a node, a connection to one that has nothing to do is hung up on, else the longest idle player is cut off; where
+// there is neither, the node has to wait.
 package limits
 
 import (
@@ -32,8 +39,15 @@
 	Patience    time.Duration // idle for longer than this, it is let go first when room gets short
 	Handshake   time.Duration // longest handshake
 	Retry       time.Duration // longest time that a newcomer is told to stay away
+	Displace    time.Duration // who has been idle for longer makes place for a newcomer; 0: never
+	Descriptors int           // that the process may hold; 0: Connections is all there is to keep to
+	Kept        int           // of these for what is not counted here
+	Silent      int           // of these for players who have not knocked yet
 }
 
+// dialCost is how many descriptors a connection takes while it is made.
+const dialCost = 2
+
 // The shares of the room at which its steps begin, and, lower, end.
 const (
 	savingFrom, savingTo = 0.80, 0.70
@@ -75,6 +89,8 @@
 	Left                 // the connection has ended
 	Measure              // Memory is what the program uses now
 	Draining             // the director closes: nobody is let in any more
+	Dial                 // a node is to be connected to; answered by Plan.Admit and Plan.HangUp
+	Stays                // who was to be let go has said something meanwhile
 	Ring                 // the time that was asked for has come
 )
 
@@ -85,25 +101,29 @@
 	Address netip.Addr
 	Ago     time.Duration // Heard: how long ago
 	Memory  int64
+	Nodes   int  // Knock, Dial, Measure: descriptors that connections to nodes hold
+	Spare   bool // Dial: there is a connection to a node that has nothing to do
 }
 
 // Let is a connection to let go.
 type Let struct {
 	Conn  int
-	Code  int           // of RFC 6455
+	Code  int           // of RFC 6455; 0: cut off
 	Why   string        // for the peer
 	Retry time.Duration // when to come back; 0: at will
 }
 
 // Plan is what is to be done. It is valid until the next Step.
 type Plan struct {
-	Admit bool          // answer to Knock
-	Retry time.Duration // where it is not admitted: when to come back
-	Why   string        // where it is not admitted
-	Ping  []int
-	Let   []Let
-	Log   string // one line for a change of mode
-	More  bool   // more is due now; call again with Ring once other work is done
+	Admit bool // answer to Knock and Dial
+	// HangUp asks for a connection to a node that has nothing to do: there is room once it is hung up on.
+	HangUp bool
+	Retry  time.Duration // where it is not admitted: when to come back
+	Why    string        // where it is not admitted
+	Ping   []int
+	Let    []Let
+	Log    string // one line for a change of mode
+	More   bool   // more is due now; call again with Ring once other work is done
 }
 
 // stage is where a connection stands.
@@ -149,6 +169,7 @@
 	timers    alarm.Alarms[int32]
 	now       time.Duration
 	memory    int64
+	nodes     int // descriptors that connections to nodes hold
 	mode      Mode
 	draining  bool
 	slice     int           // connections to let go in the next slice
@@ -190,9 +211,13 @@
 	l.plan = Plan{Ping: l.plan.Ping[:0], Let: l.plan.Let[:0]}
 	switch e.What {
 	case Knock:
+		l.nodes = e.Nodes
 		l.knock(e)
+	case Dial:
+		l.nodes = e.Nodes
+		l.dial(e.Spare)
 	case Measure:
-		l.memory = e.Memory
+		l.memory, l.nodes = e.Memory, e.Nodes
 	case Draining:
 		l.draining = true
 	case Ring:
@@ -219,7 +244,7 @@
 	switch {
 	case l.draining:
 		why = "director closes"
-	case l.used >= l.room.Connections || l.mode == Full:
+	case (l.used >= l.most() || l.mode == Full) && !l.displace():
 		why = "no room"
 	case l.shaking >= l.room.Handshakes:
 		why = "too many handshakes"
@@ -255,6 +280,37 @@
 	l.shaking++
 }
 
+// most is how many players there is room for beside the nodes.
+func (l *Limits) most() int {
+	if l.room.Descriptors == 0 {
+		return max(1, l.room.Connections)
+	}
+	return max(1, min(l.room.Connections, l.room.Descriptors-l.room.Kept-l.room.Silent-l.nodes-dialCost))
+}
+
+// displace lets the longest idle go for a newcomer.
+func (l *Limits) displace() bool {
+	if l.room.Displace == 0 || l.first == none || l.now-l.conns[l.first].since < l.room.Displace {
+		return false
+	}
+	l.let(l.first, 0, "idle for longest", 0)
+	return true
+}
+
+// dial finds room for one more connection to a node.
+func (l *Limits) dial(spare bool) {
+	free := l.room.Descriptors - l.room.Kept - l.room.Silent - l.nodes - l.used
+	switch l.plan.Admit = true; {
+	case l.room.Descriptors == 0 || free >= dialCost:
+	case spare:
+		l.plan.HangUp = true
+	case l.first != none:
+		l.let(l.first, 0, "its place is needed", 0)
+	default:
+		l.plan.Admit = false
+	}
+}
+
 // subscriber is what one peer is counted by: its address, or, since one has 2^64 of them, its network of IPv6.
 func subscriber(a netip.Addr) netip.Addr {
 	if a = a.Unmap(); !a.Is6() {
@@ -282,28 +338,34 @@
 	switch e.What {
 	case Shook:
 		if c.stage == shaking {
-			l.shaking--
-			c.heard = l.now
+			l.shook(i)
 			l.rest(i)
-			// The first sign of life is asked for at some moment of the span, so that those who came
-			// together are not asked together.
-			l.timers.Move(c.timer, together(l.now+time.Duration(l.chance.Int64N(int64(l.room.Ping)))+1))
 		}
 	case Heard:
 		if at := l.now - e.Ago; at > c.heard {
 			c.heard, c.asked = at, 0
 		}
 	case Busy:
-		if c.stage == idle {
+		switch c.stage { // who is let in may have asked for something before it is told here that it shook hands
+		case idle:
 			l.unlink(i)
-			c.stage = busy
-			l.busy++
+		case shaking:
+			l.shook(i)
+		default:
+			return
 		}
+		c.stage = busy
+		l.busy++
 	case Idle:
 		if c.stage == busy {
 			l.busy--
 			l.rest(i)
 		}
+	case Stays:
+		if c.stage == leaving {
+			l.leaving--
+			l.rest(i)
+		}
 	case Left:
 		switch c.stage {
 		case shaking:
@@ -326,6 +388,14 @@
 	}
 }
 
+// shook ends a handshake. The first sign of life is asked for at some moment of the span, so that those who came
+// together are not asked together.
+func (l *Limits) shook(i int32) {
+	l.shaking--
+	l.conns[i].heard = l.now
+	l.timers.Move(l.conns[i].timer, together(l.now+time.Duration(l.chance.Int64N(int64(l.room.Ping)))+1))
+}
+
 // rest puts a connection at the end of the idle.
 func (l *Limits) rest(i int32) {
 	c := &l.conns[i]
@@ -423,7 +493,7 @@
 
 // share is the part of the room that is used.
 func (l *Limits) share() float64 {
-	share := float64(l.used-l.leaving) / float64(max(1, l.room.Connections))
+	share := float64(l.used-l.leaving) / float64(l.most())
 	if l.room.Memory > 0 {
 		share = max(share, float64(l.memory)/float64(l.room.Memory))
 	}
@@ -447,11 +517,11 @@
 		return
 	}
 	l.plan.Log = fmt.Sprintf("connections: %v, was %v: %d of %d used, %d busy, %d handshakes, %d MiB, %d turned away", to, l.mode, l.used,
-		l.room.Connections, l.busy, l.shaking, l.memory>>20, l.turned)
+		l.most(), l.busy, l.shaking, l.memory>>20, l.turned)
 	switch {
 	case to == Full:
 		l.trickle = -1
-	case l.mode == Full:
+	case l.mode == Full && l.room.Displace == 0:
 		l.trickle, l.admitted = firstSlice, 0
 	}
 	l.mode, l.slice, l.turned = to, firstSlice, 0
