Settings of any customer: what is left out has a meaning, what can't be used is named by its key

Figures under 0 or beyond any deployment, a ladder that does not rise, and classes without a name or there twice are refused at the start in one line, exit 2.

--- /dev/null
+++ b/internal/platform/settings_test.go
@@ -0,0 +1,329 @@
+package platform
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"fordusher/internal/director"
+	_ "fordusher/internal/seeded"
+	"fordusher/internal/wire"
+	"fordusher/policy"
+)
+
+// settingsDrawn are settings of some customer: other names and numbers of classes, other deadlines and limits; any of
+// them may be left out or be 0.
+func settingsDrawn(t *rapid.T) map[string]any {
+	maybe := func(m map[string]any, key string, value any) {
+		switch rapid.IntRange(0, 5).Draw(t, key) {
+		case 0: // left out
+		case 1:
+			switch value.(type) {
+			case float64, int:
+				m[key] = 0
+			default:
+				m[key] = nil
+			}
+		default:
+			m[key] = value
+		}
+	}
+	seconds := func(key string) float64 { return rapid.SampledFrom([]float64{0.05, 0.3, 0.9, 2, 8, 40}).Draw(t, key) }
+	var classes []any
+	var floors, tops, seats []any
+	var scales []any
+	rungs := rapid.IntRange(1, 5).Draw(t, "rungs")
+	for i := range rapid.IntRange(1, 5).Draw(t, "classes") {
+		c := map[string]any{"name": fmt.Sprintf("class-%d", i)}
+		maybe(c, "target_s", seconds("target"))
+		maybe(c, "give_up_s", seconds("give up"))
+		maybe(c, "semantics", rapid.SampledFrom([]string{"free", "guarded", "single_shot", "other"}).Draw(t, "semantics"))
+		maybe(c, "credit", rapid.Float64Range(0.1, 9).Draw(t, "credit"))
+		classes = append(classes, c)
+		floors = append(floors, rapid.IntRange(0, 6).Draw(t, "floor"))
+		tops = append(tops, rapid.IntRange(0, 6).Draw(t, "top"))
+		seats = append(seats, rapid.IntRange(0, 3).Draw(t, "seats"))
+		scales = append(scales, rapid.Float64Range(0, 2).Draw(t, "scale"))
+	}
+	var ladder, worth, places []any
+	for q := range rungs {
+		ladder, worth = append(ladder, 100*(q+1)), append(worth, float64(q+1)/float64(rungs))
+	}
+	for range rapid.IntRange(0, 2).Draw(t, "kinds") {
+		places = append(places, rapid.IntRange(1, 100).Draw(t, "places"))
+	}
+	family := map[string]any{"positions": rapid.IntRange(1, 6).Draw(t, "cells"), "shelves": rapid.IntRange(1, 3).Draw(t, "racks"),
+		"ladder_kb": ladder, "link_unit_kb": 5000, "rack_link_kb": 40000}
+	maybe(family, "floor_by_class", floors)
+	maybe(family, "top_by_class", tops)
+	maybe(family, "licence_cap", seats)
+	maybe(family, "scale_by_class", scales)
+	maybe(family, "level_worth", worth)
+	maybe(family, "kind_slots", places)
+	maybe(family, "told_late_s", 0.5)
+	maybe(family, "told_every_s", 2.0)
+	maybe(family, "refuses_from", 0.95)
+	s := map[string]any{"classes": classes, "family_info": family}
+	maybe(s, "flavors", []any{"box", "case"})
+	maybe(s, "zones", []any{"east", "west"})
+	maybe(s, "zone", "east")
+	maybe(s, "balancers", rapid.IntRange(1, 300).Draw(t, "directors"))
+	maybe(s, "me", rapid.IntRange(0, 3).Draw(t, "me"))
+	permissions, rules := map[string]any{}, map[string]any{}
+	maybe(permissions, "max_attempts", rapid.IntRange(1, 5).Draw(t, "attempts"))
+	maybe(permissions, "retry_after", true)
+	maybe(permissions, "max_retry_after_s", 2.0)
+	maybe(permissions, "connect_timeout_s", 0.25)
+	maybe(permissions, "conn_idle_s", 30.0)
+	maybe(rules, "cold_from", 0.5)
+	maybe(rules, "fall_multiple", 4.0)
+	maybe(rules, "ramp_time_s", 5.0)
+	maybe(rules, "tip_after_s", 1.0)
+	maybe(rules, "spare_attempts", 2.0)
+	maybe(rules, "extra_share", 0.1)
+	maybe(rules, "resend_span_s", 5.0)
+	maybe(s, "permissions", permissions)
+	maybe(s, "rules", rules)
+	return s
+}
+
+// A customer is one director with drawn settings, stepped by hand, and plain books of what it owes.
+type customer struct {
+	*rapid.T
+	loop    *director.Loop
+	posting *Posting
+	now     time.Duration
+	owed    map[string]*owing
+	links   map[uint64]string
+	open    map[uint64]bool
+	drains  map[string]bool
+	conn    uint64
+	ended   bool
+}
+
+type owing struct {
+	class          policy.Tariff
+	name           string
+	by             time.Duration
+	answered, left bool
+	legs           int
+	out, ran       bool
+	link           uint64
+}
+
+func (c *customer) do(in director.Input) {
+	outs := append([]director.Output(nil), c.loop.Step(c.now, in)...)
+	closed := false
+	for _, o := range outs {
+		switch o := o.(type) {
+		case director.Connect:
+			c.links[o.Link] = o.Node
+		case director.HangUp:
+			delete(c.open, o.Link)
+		case director.ClosePlayer:
+			for _, w := range c.owed {
+				if !w.answered && !w.left {
+					c.Fatalf("the connection is closed that %s waits on: %+v", w.name, o)
+				}
+			}
+			closed = closed || o.Idle
+		case director.Ended:
+			c.ended = true
+		case director.TellNode:
+			w := c.owed[o.Message.Session]
+			if w == nil {
+				continue
+			}
+			switch o.Message.Type {
+			case wire.Setup:
+				w.legs++
+				if w.left || w.answered || w.out || w.ran && w.class.Paid {
+					c.Fatalf("%s is set up: %+v", w.name, *w)
+				}
+				if !c.open[o.Link] || c.drains[c.links[o.Link]] {
+					c.Fatalf("%s is set up on %d at %s: open %v, drains %v", w.name, o.Link, c.links[o.Link], c.open[o.Link], c.drains[c.links[o.Link]])
+				}
+				if o.Message.Rung < w.class.Floor {
+					c.Fatalf("%s is set up at rung %d under its floor %d", w.name, o.Message.Rung, w.class.Floor)
+				}
+				if most := max(1, c.posting.trade.Permissions.MaxAttempts); w.legs > most {
+					c.Fatalf("%s is set up for the %d. time of %d", w.name, w.legs, most)
+				}
+				w.out, w.link = true, o.Link
+			case wire.End:
+				w.out = false
+			}
+		case director.TellPlayer:
+			w := c.owed[o.Message.ID]
+			if w == nil {
+				continue
+			}
+			switch o.Message.Type {
+			case wire.Plays, wire.Nack, wire.Errored:
+				if w.answered || w.left || c.now > w.by {
+					c.Fatalf("%s is answered %s at %v: %+v", w.name, o.Message.Type, c.now, *w)
+				}
+				if o.Message.Type == wire.Nack && w.class.Paid && w.ran {
+					c.Fatalf("%s may have run and coming again is called harmless", w.name)
+				}
+				w.answered = true
+			}
+		}
+	}
+	for id, w := range c.owed {
+		if !w.answered && !w.left && c.now > w.by {
+			c.Fatalf("%s has no answer by %v: %+v, %s", w.name, c.now, *w, id)
+		}
+	}
+	if closed {
+		c.do(director.PlayerClosed{Conn: c.conn})
+		c.enter()
+	}
+}
+
+// enter connects the viewers.
+func (c *customer) enter() {
+	c.conn++
+	c.do(director.PlayerKnocked{Conn: c.conn})
+	c.do(director.PlayerOpened{Conn: c.conn})
+}
+
+func (c *customer) pass(d time.Duration) {
+	for end := c.now + d; !c.ended; {
+		next := c.loop.Next()
+		if next > end {
+			c.now = end
+			return
+		}
+		c.now = max(c.now, next)
+		c.do(director.Tick{})
+	}
+}
+
+// Whatever a customer's settings leave out or set to 0: the program starts, and keeps the rules.
+func TestSettingsOfAnyCustomer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		raw, err := json.Marshal(settingsDrawn(t))
+		if err != nil {
+			t.Fatal(err)
+		}
+		sockets := rapid.SampledFrom([]int{0, 64, 256, 1024}).Draw(t, "sockets")
+		var targets []target
+		for i := range 4 {
+			targets = append(targets, target{ID: nodeName(uint32(i)), Endpoint: fmt.Sprintf("127.0.0.1:%d", 1000+i), Zone: "east",
+				Kind: "box", Cell: i, State: "ready", Weight: float64(i)})
+		}
+		known, _ := json.Marshal(targets)
+		posting, err := parsePosting(fmt.Appendf(nil, `{"name":"n","listen":"127.0.0.1:0","seed":"1","board":"127.0.0.1:1",
+ "limits":{"sockets":%d},"settings":%s,"known":{"rev":1,"notices":[{"rev":1,"pool":{"all":true,"targets":%s}}]}}`, sockets, raw, known))
+		if err != nil {
+			t.Fatalf("%s: %v", raw, err)
+		}
+		house := posting.House(time.Now())
+		c := &customer{T: t, posting: posting, owed: map[string]*owing{}, links: map[uint64]string{}, open: map[uint64]bool{},
+			drains: map[string]bool{}, loop: house.Loop("b", 1, posting.Module(1))}
+		c.do(director.ListSaid{Message: wire.List{Type: wire.Whole, Nodes: house.Nodes}})
+		c.enter()
+		classes := posting.trade.Tariffs()
+		front := NewFront(posting, house, time.Now)
+		for step := range rapid.IntRange(1, 80).Draw(t, "steps") {
+			c.pass(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			var ids []string
+			for id, w := range c.owed {
+				if w.out {
+					ids = append(ids, id)
+				}
+			}
+			switch what := rapid.IntRange(0, 9).Draw(t, "what"); {
+			case what < 4:
+				k := rapid.IntRange(0, len(classes)-1).Draw(t, "class")
+				wait := rapid.SampledFrom([]int{30, 200, 900, 3000, 60000}).Draw(t, "wait")
+				raw := aSetup(uint64(step+1), map[byte]string{codeClass: fmt.Sprintf("class-%d", k), codeWait: fmt.Sprint(wait),
+					codePlace: fmt.Sprintf("home:%d;copies:1;top:2", rapid.IntRange(0, posting.trade.Family.Cells-1).Draw(t, "home"))})
+				in, _, err := front.FromPlayer(raw)
+				if err != nil {
+					t.Fatal(err)
+				}
+				in.Conn = c.conn
+				by := min(time.Duration(wait)*time.Millisecond, classes[k].HardStop)
+				c.owed[in.Message.ID] = &owing{class: classes[k], name: fmt.Sprintf("session %d of class %d", step+1, k), by: c.now + by}
+				c.do(in)
+			case what < 6: // a connection comes up or fails
+				for link, node := range c.links {
+					if c.open[link] {
+						continue
+					}
+					if what == 4 {
+						c.open[link] = true
+						c.do(director.LinkMade{Node: node, Link: link})
+					} else {
+						delete(c.links, link)
+						c.do(director.LinkFailed{Node: node, Link: link, Refused: true})
+					}
+					break
+				}
+			case what < 8 && len(ids) > 0:
+				id := rapid.SampledFrom(ids).Draw(t, "answered")
+				w := c.owed[id]
+				kind := rapid.SampledFrom([]string{wire.Accepted, wire.Full, wire.Failed}).Draw(t, "kind")
+				w.out, w.ran = false, w.ran || kind != wire.Full
+				c.do(director.LinkSaid{Link: w.link, Message: wire.Node{Type: kind, Session: id}})
+			case what == 8 && len(ids) > 0:
+				id := rapid.SampledFrom(ids).Draw(t, "left")
+				c.owed[id].left = true
+				c.do(director.PlayerSaid{Conn: c.conn, Message: wire.Session{Type: wire.Leave, ID: id}, Brought: &director.Brought{}})
+			case what == 9:
+				i := rapid.IntRange(0, 3).Draw(t, "node")
+				c.drains[nodeName(uint32(i))] = true
+				e := targets[i].entry(time.Now())
+				e.State = wire.Draining
+				c.do(director.ListSaid{Message: wire.List{Type: wire.Update, Nodes: []wire.Entry{e}}})
+			}
+		}
+		// The order to stop: everything owed is answered, and it ends by itself before it is killed.
+		began := c.now
+		c.do(director.Stop{})
+		c.pass(posting.longest() + killAfter)
+		if !c.ended || c.now > began+posting.longest()+killAfter {
+			t.Fatalf("it has not ended %v after the order; %v are given", c.now-began, posting.longest()+killAfter)
+		}
+		for _, w := range c.owed {
+			if !w.answered && !w.left {
+				t.Fatalf("%s was never answered", w.name)
+			}
+		}
+	})
+}
+
+// What can't be used is named by its key, in one line.
+func TestSettingsThatCantBeUsed(t *testing.T) {
+	for want, change := range map[string][2]string{
+		"classes: number 1 has no name":              {`"name":"exam"`, `"name":""`},
+		`classes: "clip" is there twice`:             {`"name":"exam"`, `"name":"clip"`},
+		"ladder_kb: rung 1 is 50":                    {`[100,200]`, `[100,50]`},
+		"ladder_kb: rung 0 is 0":                     {`[100,200]`, `[0,50]`},
+		"family_info: positions is 0":                {`"positions":4`, `"positions":0`},
+		"family_info: link_unit_kb is -1":            {`"link_unit_kb":10000`, `"link_unit_kb":-1`},
+		"permissions: connect_timeout_s is -0.5":     {`"connect_timeout_s":0.5`, `"connect_timeout_s":-0.5`},
+		"permissions: max_attempts is -4":            {`"max_attempts":4`, `"max_attempts":-4`},
+		"classes: exam: give_up_s is 1e+12":          {`"give_up_s":2,"semantics":"single_shot"`, `"give_up_s":1e12,"semantics":"single_shot"`},
+		"rules: ramp_time_s is -0.1":                 {`"ramp_time_s":0.1`, `"ramp_time_s":-0.1`},
+		"cannot unmarshal string into Go struct fie": {`"positions":4`, `"positions":"4"`},
+	} {
+		text := strings.Replace(settings, change[0], change[1], 1)
+		if text == settings {
+			t.Fatalf("%s changes nothing", change[0])
+		}
+		_, err := parsePosting([]byte(`{"settings":` + text + `}`))
+		if err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", want, err)
+		}
+	}
+	if _, err := parsePosting([]byte(`{"limits":{"sockets":-1},"settings":` + settings + `}`)); err == nil || !strings.Contains(err.Error(), "sockets is -1") {
+		t.Error(err)
+	}
+}
--- a/internal/platform/start.go
+++ b/internal/platform/start.go
@@ -129,16 +129,16 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &trade.Family
-	switch {
-	case len(trade.Classes) == 0:
-		return nil, fmt.Errorf("settings: classes: there are none")
-	case len(f.Ladder) == 0:
-		return nil, fmt.Errorf("settings: family_info: ladder_kb: a ladder has at least one rung")
-	case f.Cells <= 0 || f.Racks <= 0 || f.LinkUnit <= 0 || f.Uplink <= 0:
-		return nil, fmt.Errorf("settings: family_info: positions, shelves, link_unit_kb and rack_link_kb have to be over 0")
-	case p.Limits.MemoryMB < 0 || p.Limits.Sockets < 0 || p.Limits.Cores < 0:
-		return nil, fmt.Errorf("limits: a number is under 0")
+	if err := trade.Check(); err != nil {
+		return nil, err
+	}
+	for _, x := range []struct {
+		key   string
+		value float64
+	}{{"cores", p.Limits.Cores}, {"memory_mb", float64(p.Limits.MemoryMB)}, {"sockets", float64(p.Limits.Sockets)}} {
+		if x.value < 0 {
+			return nil, fmt.Errorf("limits: %s is %v; it has to be at least 0", x.key, x.value)
+		}
 	}
 	p.trade = trade
 	return p, nil
@@ -204,7 +204,7 @@
 	if every := simwire.Span(t.Family.Every); every > 0 { // a node with sessions is heard so often
 		h.Pace.Ping = (every + time.Second) / 3
 	}
-	h.Term = closing.Term{Within: p.closeWithin(), Slice: 200 * time.Millisecond, Least: time.Second}
+	h.Term = closing.Term{Within: p.closeWithin(), Slice: 200 * time.Millisecond, Least: p.closeLeast()}
 	sockets := p.Limits.Sockets
 	if sockets == 0 {
 		sockets = 1024
@@ -243,14 +243,29 @@
 	return h
 }
 
-// closeWithin is how long a director that is told to stop may take: it is killed no sooner than the longest hard stop,
-// at most 3 s, and 700 ms after that.
-func (p *Posting) closeWithin() time.Duration {
-	var longest time.Duration
+// What the platform says of a director that is told to stop: it is killed no sooner than killAfter after the
+// longest hard stop, which counts as stopMost where it is longer; who comes until lastAfter the order is owed an answer.
+const (
+	stopMost  = 3 * time.Second
+	killAfter = 700 * time.Millisecond
+	lastAfter = 700 * time.Millisecond
+	leaveBy   = 300 * time.Millisecond // of killAfter: the rest is for what is still on its way out
+)
+
+// longest is the longest hard stop, as it counts for an order to stop.
+func (p *Posting) longest() (longest time.Duration) {
 	for _, x := range p.trade.Tariffs() {
 		longest = max(longest, x.HardStop)
 	}
-	return min(longest, 3*time.Second) + 300*time.Millisecond
+	return min(longest, stopMost)
+}
+
+// closeWithin is how long a director that is told to stop may take until the last answer is out.
+func (p *Posting) closeWithin() time.Duration { return p.longest() + leaveBy }
+
+// closeLeast is how long it stays for who still comes, and is gone by itself before it is killed.
+func (p *Posting) closeLeast() time.Duration {
+	return min(time.Second, lastAfter+p.longest()/2)
 }
 
 func (e target) entry(now time.Time) wire.Entry {
@@ -260,7 +275,7 @@
 	}
 	return wire.Entry{
 		Node: e.ID, Address: e.Endpoint, State: state, Kind: e.Kind, Zone: e.Zone, Start: uint64(max(0, e.Boot)),
-		Age: age(uint64(max(0, e.Boot)), now), Weight: e.Weight, Cell: e.Cell,
+		Age: age(uint64(max(0, e.Boot)), now), Weight: e.Weight, Cell: max(0, e.Cell),
 	}
 }
 
--- a/internal/simwire/conf.go
+++ b/internal/simwire/conf.go
@@ -1,8 +1,12 @@
 package simwire
 
 import (
+	"cmp"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"fordusher/policy"
@@ -101,16 +105,83 @@
 	return ladder
 }
 
-// Tariffs are what sessions were promised, in the order of the classes.
+// Check tells what of the settings can't be used, by its key; what is left out has a meaning.
+func (c *Conf) Check() error {
+	f := &c.Family
+	if len(c.Classes) == 0 {
+		return errors.New("settings: classes: there are none")
+	}
+	for i, class := range c.Classes {
+		if class.Name == "" {
+			return fmt.Errorf("settings: classes: number %d has no name", i)
+		}
+		if c.tariffs[class.Name] != i {
+			return fmt.Errorf("settings: classes: %q is there twice", class.Name)
+		}
+	}
+	if len(f.Ladder) == 0 {
+		return errors.New("settings: family_info: ladder_kb: a ladder has at least one rung")
+	}
+	for q, rate := range f.Ladder {
+		if rate <= 0 || q > 0 && rate <= f.Ladder[q-1] {
+			return fmt.Errorf("settings: family_info: ladder_kb: rung %d is %v; rates are over 0 and rise", q, rate)
+		}
+	}
+	for _, x := range []struct {
+		key   string
+		value float64
+	}{{"positions", float64(f.Cells)}, {"shelves", float64(f.Racks)}, {"link_unit_kb", f.LinkUnit}, {"rack_link_kb", f.Uplink}} {
+		if x.value <= 0 {
+			return fmt.Errorf("settings: family_info: %s is %v; it has to be over 0", x.key, x.value)
+		}
+	}
+	least := map[string]float64{
+		"family_info: told_late_s": f.Late, "family_info: told_every_s": f.Every, "family_info: refuses_from": f.RefusesFrom,
+		"permissions: max_attempts":      float64(c.Permissions.MaxAttempts),
+		"permissions: max_retry_after_s": c.Permissions.MaxBackoff, "permissions: connect_timeout_s": c.Permissions.Connect,
+		"permissions: conn_idle_s": c.Permissions.Idle, "prices: cross_zone": c.Prices.Crossing,
+		"rules: ask_within_s": c.Rules.AskWithin, "rules: cold_from": c.Rules.ColdFrom,
+		"rules: fall_multiple": c.Rules.Multiple, "rules: ramp_time_s": c.Rules.Ramp, "rules: tip_after_s": c.Rules.TipAfter,
+		"rules: spare_attempts": c.Rules.Spare, "rules: extra_share": c.Rules.Extra, "rules: resend_span_s": c.Rules.Span,
+	}
+	for i, class := range c.Classes {
+		least[fmt.Sprintf("classes: %s: target_s", class.Name)] = class.Target
+		least[fmt.Sprintf("classes: %s: give_up_s", class.Name)] = class.GiveUp
+		least[fmt.Sprintf("classes: %s: credit", class.Name)] = class.Credit
+		least[fmt.Sprintf("family_info: scale_by_class: number %d", i)] = at(f.Scale, i, 1)
+		least[fmt.Sprintf("family_info: floor_by_class: number %d", i)] = float64(at(f.Floor, i, 0))
+		least[fmt.Sprintf("family_info: licence_cap: number %d", i)] = float64(at(f.Seats, i, 0))
+	}
+	for _, key := range slices.Sorted(maps.Keys(least)) {
+		if least[key] < 0 || least[key] > most {
+			return fmt.Errorf("settings: %s is %v; it has to be from 0 to %v", key, least[key], most)
+		}
+	}
+	return nil
+}
+
+// most is beyond any figure of a deployment; spans up to it still fit.
+const most = 1e9
+
+// Unhurried is how long a session may take to be set up whose class names no end of it.
+const Unhurried = time.Hour
+
+// Tariffs are what sessions were promised, in the order of the classes. A class that names no end has until Unhurried,
+// and one that names no goal has all of its time; a floor beyond the ladder is its last rung, and where no scale is
+// told it is 1.
 func (c *Conf) Tariffs() []policy.Tariff {
 	f := &c.Family
 	tariffs := make([]policy.Tariff, len(c.Classes))
 	for i, class := range c.Classes {
-		tariffs[i] = policy.Tariff{
+		t := policy.Tariff{
 			GoalTime: Span(class.Target), HardStop: Span(class.GiveUp), Credit: class.Credit,
 			Paid: class.Semantics != "free", Scale: at(f.Scale, i, 1), Floor: at(f.Floor, i, 0),
 			Top: at(f.Top, i, len(f.Ladder)-1), Seats: at(f.Seats, i, 0), Live: at(f.Live, i, false),
 		}
+		t.HardStop = cmp.Or(t.HardStop, Unhurried)
+		t.GoalTime = min(cmp.Or(t.GoalTime, t.HardStop), t.HardStop)
+		t.Scale, t.Floor = cmp.Or(t.Scale, 1), min(t.Floor, len(f.Ladder)-1)
+		tariffs[i] = t
 	}
 	return tariffs
 }
@@ -135,7 +206,7 @@
 			Crossing: c.Prices.Crossing, RefusesFrom: f.RefusesFrom,
 		}, ramp,
 		policy.Legs{
-			Most: c.Permissions.MaxAttempts, Spare: c.Rules.Spare, Share: c.Rules.Extra,
+			Most: max(1, c.Permissions.MaxAttempts), Spare: c.Rules.Spare, Share: c.Rules.Extra,
 			Span: Span(c.Rules.Span),
 		},
 		policy.Tidings{Late: Span(f.Late), Every: Span(f.Every), Backoff: backoff})
