The program on real sockets at its edges: few descriptors, SIGTERM, SIGKILL, SIGHUP

Tests of the program as a process between media nodes, a board and viewers that hold what they do until told. Found by them: beyond sixteen at a time, who knocked in vain was still closed without a word (200 nodes, 256 descriptors, 2,000 idle clients a second, the board down): now the first of those is closed in its place, once nothing of it is on its way. A newcomer takes the place of one that has been idle for 250 ms, not for 1 s: a viewer whose request was refused comes again within that, on the same connection.

--- a/cmd/fordusher/main_test.go
+++ b/cmd/fordusher/main_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -24,6 +25,9 @@
 // The test binary is the program too, for processes that the tests start.
 func TestMain(m *testing.M) {
 	if os.Getenv("FORDUSHER_MAIN") != "" {
+		if n, err := strconv.ParseUint(os.Getenv("FORDUSHER_FILES"), 10, 64); err == nil { // as few as a platform gives
+			unix.Setrlimit(unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: n, Max: n})
+		}
 		main()
 		os.Exit(0)
 	}
--- /dev/null
+++ b/cmd/fordusher/platform_test.go
@@ -0,0 +1,550 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/textproto"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// The program as the platform runs it, a process between media nodes, a notice board and viewers that are written from
+// the protocol's pages and hold what they do until they are told.
+
+const untilThen = 20 * time.Second // the longest that a test waits for what has to come
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(untilThen); !ok(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal(what)
+		}
+	}
+}
+
+// A mediaNode answers set-ups with 200, or holds them while it is held.
+type mediaNode struct {
+	ln    net.Listener
+	mu    sync.Mutex
+	held  bool
+	waits []func()
+	seen  []string // sessions set up, in order
+	conns []net.Conn
+}
+
+func newMediaNode(t *testing.T) *mediaNode {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &mediaNode{ln: ln}
+	t.Cleanup(func() { ln.Close(); n.closeAll() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			n.mu.Lock()
+			n.conns = append(n.conns, c)
+			n.mu.Unlock()
+			go n.serve(c)
+		}
+	}()
+	return n
+}
+
+func (n *mediaNode) closeAll() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, c := range n.conns {
+		c.Close()
+	}
+}
+
+func (n *mediaNode) serve(c net.Conn) {
+	r := textproto.NewReader(bufio.NewReader(c))
+	for {
+		first, err := r.ReadLine()
+		if err != nil {
+			return
+		}
+		head, err := r.ReadMIMEHeader()
+		if err != nil {
+			return
+		}
+		length, _ := strconv.Atoi(head.Get("Content-Length"))
+		if _, err := io.CopyN(io.Discard, r.R, int64(length)); err != nil {
+			return
+		}
+		if !strings.HasPrefix(first, "SETUP ") {
+			continue
+		}
+		session := head.Get("Session")
+		answer := func() {
+			fmt.Fprintf(c, "RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: %s\r\nContent-Length: 5\r\n\r\nhere\n", session)
+		}
+		n.mu.Lock()
+		n.seen = append(n.seen, session)
+		if n.held {
+			n.waits = append(n.waits, answer)
+		} else {
+			answer()
+		}
+		n.mu.Unlock()
+	}
+}
+
+func (n *mediaNode) hold() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.held = true
+}
+
+// release answers what was held, and all that comes.
+func (n *mediaNode) release() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.held = false
+	for _, answer := range n.waits {
+		answer()
+	}
+	n.waits = nil
+}
+
+func (n *mediaNode) setUps() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.seen)
+}
+
+// A front is one director's process, and where it is reached.
+type front struct {
+	t       *testing.T
+	cmd     *exec.Cmd
+	address string
+	config  string
+	mu      sync.Mutex
+	log     bytes.Buffer
+	done    chan error
+}
+
+func (f *front) Write(b []byte) (int, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.log.Write(b)
+}
+
+func (f *front) said() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.log.String()
+}
+
+type posting struct {
+	listen, board string
+	sockets       int
+	nodes         []*mediaNode
+	deadline      float64
+}
+
+func (p posting) text() string {
+	var targets []string
+	for i, n := range p.nodes {
+		targets = append(targets, fmt.Sprintf(`{"uid":"s-%08x","endpoint":%q,"az":"z","model":"box","pod_group":%d,"state":"ready","capacity_hint":1,"boot_ms":0}`,
+			i, n.ln.Addr(), i))
+	}
+	return fmt.Sprintf(`{"name":"n0","listen":%q,"seed":"1f","board":%q,"limits":{"cores":1,"memory_mb":192,"sockets":%d},
+ "known":{"rev":3,"notices":[{"rev":3,"pool":{"rev":3,"all":true,"targets":[%s]}}]},
+ "settings":{"balancers":1,"me":0,"zone":"z","zones":["z"],"flavors":["box"],
+ "classes":[{"name":"clip","target_s":%g,"give_up_s":%g,"semantics":"free","credit":1}],
+ "family_info":{"positions":%d,"shelves":1,"kind_slots":[100],"ladder_kb":[100,200],"level_worth":[0.5,1],"link_unit_kb":10000,
+  "rack_link_kb":10000000,"told_every_s":30,"told_late_s":1},
+ "permissions":{"max_attempts":4,"connect_timeout_s":0.5,"conn_idle_s":30},"report":{"fields":["x0","x1"]},
+ "rules":{"cold_from":0.5,"fall_multiple":4,"ramp_time_s":0.1,"tip_after_s":0.05}}}`,
+		p.listen, p.board, p.sockets, strings.Join(targets, ","), p.deadline, p.deadline, len(p.nodes))
+}
+
+// freeAddress is one that nothing listens at.
+func freeAddress(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+func startFront(t *testing.T, p posting) *front {
+	t.Helper()
+	f := &front{t: t, address: p.listen, config: file(t, "config.json", p.text()), done: make(chan error, 1)}
+	f.cmd = command(t, "platform")
+	// The race detector waits for a second at the exit, which is not the program's.
+	f.cmd.Env = append(f.cmd.Env, "PROXY_CONFIG="+f.config, fmt.Sprintf("FORDUSHER_FILES=%d", p.sockets), "GORACE=atexit_sleep_ms=0")
+	f.cmd.Stderr = f
+	if err := f.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() { f.done <- f.cmd.Wait() }()
+	t.Cleanup(func() {
+		f.cmd.Process.Kill()
+		if t.Failed() {
+			t.Log(f.said())
+		}
+	})
+	eventually(t, "it did not listen", func() bool {
+		c, err := net.Dial("tcp", f.address)
+		if err == nil {
+			c.Close()
+		}
+		return err == nil
+	})
+	time.Sleep(150 * time.Millisecond) // past the caution of one that has just started, which the settings say
+	return f
+}
+
+// A client is one of the platform's viewers.
+type client struct {
+	t *testing.T
+	c net.Conn
+}
+
+func (f *front) client() *client {
+	f.t.Helper()
+	c, err := net.Dial("tcp", f.address)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { c.Close() })
+	c.SetReadDeadline(time.Now().Add(untilThen))
+	return &client{f.t, c}
+}
+
+func binaryMessage(kind byte, session uint64, params ...any) []byte {
+	raw := binary.BigEndian.AppendUint64([]byte{0, 0, kind}, session)
+	for i := 0; i < len(params); i += 2 {
+		value := params[i+1].(string)
+		raw = append(raw, byte(params[i].(int)), byte(len(value)>>8), byte(len(value)))
+		raw = append(raw, value...)
+	}
+	binary.BigEndian.PutUint16(raw, uint16(len(raw)-2))
+	return raw
+}
+
+func setUpAt(session uint64, home, copies int) []byte {
+	return binaryMessage(1, session, 33, "clip", 36, "10000", 45, "7f3a9c21e0b4d655", 63, "8200.0",
+		48, fmt.Sprintf("home:%d;copies:%d;top:1;viewer:00000000b4d65521", home, copies), 78, "there\n")
+}
+
+func setUp(session uint64) []byte { return setUpAt(session, 0, 1) }
+
+func aTest() []byte { return binaryMessage(52, 1, 75, "\x00") }
+
+const (
+	saysPlays  = 9
+	saysOver   = 12
+	saysHeard  = 16
+	saysPassed = 53
+)
+
+// next reads a message's kind and session; 0 where the connection has ended.
+func (c *client) next() (kind byte, session uint64) {
+	c.t.Helper()
+	head := make([]byte, 2)
+	if _, err := io.ReadFull(c.c, head); err != nil {
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			c.t.Fatal("nothing came")
+		}
+		return 0, 0
+	}
+	raw := make([]byte, binary.BigEndian.Uint16(head))
+	if _, err := io.ReadFull(c.c, raw); err != nil {
+		return 0, 0
+	}
+	return raw[0], binary.BigEndian.Uint64(raw[1:])
+}
+
+func (c *client) expect(kind byte, session uint64) {
+	c.t.Helper()
+	if k, s := c.next(); k != kind || s != session {
+		c.t.Fatalf("kind %d of session %d; wanted kind %d of session %d", k, s, kind, session)
+	}
+}
+
+// A noticeBoard notes from which event it is asked, and hands the connection over.
+type noticeBoard struct {
+	ln    net.Listener
+	asked chan net.Conn
+}
+
+func newNoticeBoard(t *testing.T, address string) *noticeBoard {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	b := &noticeBoard{ln, make(chan net.Conn, 16)}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := io.ReadFull(c, make([]byte, 8)); err == nil {
+				b.asked <- c
+			}
+		}
+	}()
+	return b
+}
+
+func (b *noticeBoard) next(t *testing.T, within time.Duration) net.Conn {
+	t.Helper()
+	select {
+	case c := <-b.asked:
+		return c
+	case <-time.After(within):
+		t.Fatalf("the board was not asked within %v", within)
+	}
+	return nil
+}
+
+// told is the event that a node is in a state.
+func told(number uint64, node int, state byte, n *mediaNode) []byte {
+	raw := binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint32(nil, 9+27), number)
+	raw = binary.BigEndian.AppendUint32(append(raw, 2), uint32(node))
+	raw = append(raw, 127, 0, 0, 1)
+	raw = binary.BigEndian.AppendUint16(raw, uint16(n.ln.Addr().(*net.TCPAddr).Port))
+	raw = append(raw, state, 0, 0, 0, byte(node))
+	return binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint32(raw, 1000), 0)
+}
+
+// Idle clients fill the smallest number of descriptors while discovery is down, and come on: media nodes, two hundred
+// of them, are still reached, a new client is served, and discovery comes back once it can.
+func TestIdleClientsWhileDiscoveryIsDown(t *testing.T) {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil || limit.Cur < 2500 {
+		t.Skipf("this machine gives %d descriptors; the test holds 1,500 itself", limit.Cur)
+	}
+	const sockets = 256
+	p := posting{listen: freeAddress(t), board: freeAddress(t), sockets: sockets, deadline: 5}
+	for range 200 {
+		p.nodes = append(p.nodes, newMediaNode(t))
+	}
+	f := startFront(t, p)
+	stop, ended := make(chan struct{}), make(chan struct{})
+	go func() { // asks once and stays, or says nothing: up to 600 at a time, for as long as the test goes on
+		defer close(ended)
+		var held []net.Conn
+		for i := 0; ; i++ {
+			select {
+			case <-stop:
+				for _, c := range held {
+					c.Close()
+				}
+				return
+			default:
+			}
+			c, err := net.DialTimeout("tcp", f.address, 100*time.Millisecond)
+			if err != nil {
+				time.Sleep(time.Millisecond)
+				continue
+			}
+			if i%3 != 0 {
+				c.Write(aTest())
+			}
+			if held = append(held, c); len(held) > 600 {
+				held[0].Close()
+				held = held[1:]
+			}
+			time.Sleep(500 * time.Microsecond)
+		}
+	}()
+	defer func() { close(stop); <-ended }()
+	descriptors := func() int {
+		all, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", f.cmd.Process.Pid))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return len(all)
+	}
+	eventually(t, "idle clients do not fill the descriptors", func() bool { return descriptors() > sockets*3/4 })
+	most := 0
+	for id := uint64(1); id <= 120; id++ { // each at another node
+		c := f.client()
+		c.c.Write(setUpAt(id, int(id)%200, 1))
+		if kind, session := c.next(); kind != saysPlays && kind != saysOver || session != id {
+			t.Fatalf("client %d got kind %d of session %d; a final answer is owed", id, kind, session)
+		}
+		most = max(most, descriptors())
+	}
+	reached := 0
+	for _, n := range p.nodes {
+		reached += n.setUps()
+	}
+	if reached < 60 {
+		t.Fatalf("%d of 120 clients reached a node", reached)
+	}
+	board := newNoticeBoard(t, p.board)
+	c := board.next(t, 4*time.Second)
+	c.Write(told(4, 0, 1, p.nodes[0]))
+	if most = max(most, descriptors()); most > sockets {
+		t.Fatalf("%d descriptors", most)
+	}
+}
+
+// SIGTERM with requests in flight, on open connections, in pieces, on new connections and 0.6 s after it: each has one
+// final answer, and the program ends by itself before it is killed.
+func TestSIGTERM(t *testing.T) {
+	for _, deadline := range []float64{0.5, 2, 8} {
+		t.Run(fmt.Sprint(deadline), func(t *testing.T) {
+			t.Parallel()
+			n := newMediaNode(t)
+			f := startFront(t, posting{listen: freeAddress(t), board: freeAddress(t), sockets: 512, deadline: deadline, nodes: []*mediaNode{n}})
+			n.hold()
+			inFlight, open, pieces := f.client(), f.client(), f.client()
+			inFlight.c.Write(setUp(1))
+			eventually(t, "no attempt", func() bool { return n.setUps() == 1 })
+			open.c.Write(aTest())
+			open.expect(saysPassed, 1)
+			raw := setUp(3)
+			pieces.c.Write(raw[:5])
+			f.cmd.Process.Signal(syscall.SIGTERM)
+			ordered := time.Now()
+			eventually(t, "the order was not heard", func() bool { return strings.Contains(f.said(), "closing:") })
+			open.c.Write(setUp(2))
+			open.expect(saysOver, 2)
+			fresh := f.client()
+			fresh.c.Write(setUp(4))
+			fresh.expect(saysOver, 4)
+			for _, b := range raw[5:] {
+				pieces.c.Write([]byte{b})
+			}
+			pieces.expect(saysOver, 3)
+			for time.Since(ordered) < 600*time.Millisecond {
+				time.Sleep(time.Millisecond)
+			}
+			open.c.Write(setUp(5))
+			open.expect(saysOver, 5)
+			n.release()
+			switch kind, session := inFlight.next(); {
+			case session != 1:
+				t.Fatalf("kind %d of session %d", kind, session)
+			case kind == saysPlays: // and it is over with the director
+				inFlight.expect(saysOver, 1)
+			case kind != saysOver:
+				t.Fatalf("kind %d", kind)
+			}
+			kill := time.Duration(min(deadline, 3)*float64(time.Second)) + 700*time.Millisecond
+			select {
+			case err := <-f.done:
+				if err != nil || time.Since(ordered) > kill {
+					t.Fatalf("it ended after %v, %v", time.Since(ordered), err)
+				}
+			case <-time.After(time.Until(ordered.Add(kill))):
+				t.Fatalf("it is still there after %v", kill)
+			}
+		})
+	}
+}
+
+// SIGKILL right after an accept, with a set-up out; at the same address, with the node's end of the old connections
+// still open, the next one serves and is told nothing of what it does not know.
+func TestKilledAndRestartedAtTheSameAddress(t *testing.T) {
+	n := newMediaNode(t)
+	p := posting{listen: freeAddress(t), board: freeAddress(t), sockets: 512, deadline: 5, nodes: []*mediaNode{n}}
+	f := startFront(t, p)
+	n.hold()
+	c := f.client()
+	c.c.Write(setUp(1))
+	eventually(t, "no attempt", func() bool { return n.setUps() == 1 })
+	f.client() // accepted, or not yet
+	f.cmd.Process.Kill()
+	<-f.done
+	if kind, _ := c.next(); kind != 0 {
+		t.Fatalf("kind %d from one that is dead", kind)
+	}
+	f = startFront(t, p)
+	n.release() // the old answer goes out on the old connection
+	c = f.client()
+	c.c.Write(setUp(2))
+	c.expect(saysPlays, 2)
+	n.mu.Lock()
+	last := n.conns[len(n.conns)-1]
+	n.mu.Unlock()
+	fmt.Fprintf(last, "TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: %016x\r\nReason: cause=41\r\nContent-Length: 0\r\n\r\n", 1)
+	fmt.Fprintf(last, "TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: %016x\r\nReason: cause=16\r\nContent-Length: 0\r\n\r\n", 2)
+	c.expect(saysOver, 2) // and nothing of session 1
+}
+
+// SIGHUP, and then a drain that only the new board tells; the old one breaks off in the middle of a frame.
+func TestSIGHUPAndADrain(t *testing.T) {
+	nodes := []*mediaNode{newMediaNode(t), newMediaNode(t)}
+	p := posting{listen: freeAddress(t), board: freeAddress(t), sockets: 512, deadline: 5, nodes: nodes}
+	old := newNoticeBoard(t, p.board)
+	f := startFront(t, p)
+	was := old.next(t, untilThen)
+	moved := newNoticeBoard(t, "127.0.0.1:0")
+	p.board = moved.ln.Addr().String()
+	if err := os.WriteFile(f.config, []byte(p.text()), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	old.ln.Close()
+	f.cmd.Process.Signal(syscall.SIGHUP)
+	is := moved.next(t, 4*time.Second)
+	was.Write(told(4, 1, 1, nodes[1])[:9]) // of no meaning any more
+	was.Close()
+	is.Write(told(4, 0, 1, nodes[0]))
+	c := f.client()
+	drained := time.Now()
+	for id := uint64(1); ; id++ { // the grace counts from what is told; what is set up after it goes to the other node
+		before := nodes[0].setUps()
+		c.c.Write(setUpAt(id, 0, 2))
+		if kind, _ := c.next(); kind != saysPlays {
+			t.Fatalf("kind %d", kind)
+		}
+		c.c.Write(binaryMessage(saysOver, id, 75, "\x10")) // so that the nodes do not fill
+		c.expect(saysHeard, id)
+		if time.Since(drained) > 250*time.Millisecond {
+			if nodes[0].setUps() != before {
+				t.Fatal("a set-up went to a node that drains")
+			}
+			if id > 20 {
+				break
+			}
+		}
+	}
+	if nodes[1].setUps() == 0 {
+		t.Fatal("nothing went to the other node")
+	}
+}
+
+func TestAPostingThatCantBeUsedEndsWith2(t *testing.T) {
+	n := newMediaNode(t)
+	text := posting{listen: freeAddress(t), board: freeAddress(t), sockets: 512, deadline: 5, nodes: []*mediaNode{n}}.text()
+	for want, bad := range map[string]string{
+		"ladder_kb": strings.Replace(text, `"ladder_kb":[100,200]`, `"ladder_kb":[200,100]`, 1),
+		"line 4":    strings.Replace(text, `"flavors":["box"]`, `"flavors":["box"`, 1),
+		"listen":    strings.Replace(text, `"listen"`, `"lissen"`, 1),
+	} {
+		cmd := command(t, "platform")
+		cmd.Env = append(cmd.Env, "PROXY_CONFIG="+file(t, "config.json", bad))
+		out, err := cmd.CombinedOutput()
+		if cmd.ProcessState.ExitCode() != exitInput || !strings.Contains(string(out), want) || strings.Count(string(out), "\n") > 1 {
+			t.Errorf("%s: %v, %s", want, err, out)
+		}
+	}
+}
--- a/internal/director/account.go
+++ b/internal/director/account.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"fordusher/internal/alarm"
@@ -131,7 +132,8 @@
 // Players.
 
 // What a connection asks for which there is no room is refused for turnedFor, so that all that came at once has its
-// answer before it is closed. There are no more than turnedMost of those at a time.
+// answer before it is closed. Where there are more than turnedMost of those, the first is closed as soon as nothing of it
+// is on its way here.
 const (
 	turnedFor  = 20 * time.Millisecond
 	turnedMost = 16
@@ -146,10 +148,13 @@
 	plan := l.limit(limits.Event{What: limits.Knock, Conn: int(seat), Address: e.Address, Nodes: l.linkSockets()})
 	if !plan.Admit {
 		l.counts.TurnedAway++
-		if l.manners.Loose && l.turned < turnedMost { // it has knocked with a request, which is owed an answer
-			l.turned++
+		if l.manners.Loose { // it has knocked with a request, which is owed an answer
 			l.conns[e.Conn] = &conn{number: e.Conn, turned: true, leaving: true}
 			l.timers.Add(l.now+turnedFor, due{timerTurned, e.Conn})
+			if l.turned = append(l.turned, e.Conn); len(l.turned) > turnedMost { // the first of them has its answer by now
+				l.do(ClosePlayer{Conn: l.turned[0], Code: 1013, Why: "no room", Idle: true})
+				l.turned = l.turned[1:]
+			}
 			return
 		}
 		l.do(TurnAway{e.Conn, plan.Retry, plan.Why})
@@ -402,7 +407,7 @@
 	}
 	delete(l.conns, number)
 	if c.turned {
-		l.turned--
+		l.turned = slices.DeleteFunc(l.turned, func(n uint64) bool { return n == number })
 		return
 	}
 	l.limit(limits.Event{What: limits.Left, Conn: int(c.seat)})
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -268,7 +268,7 @@
 	titles   map[string]title // as long as the list's catalogue
 	listed   bool             // a whole list has come
 
-	turned  int      // connections that were turned away and not closed yet
+	turned  []uint64 // connections that were turned away last; emptied as they close
 	untold  []untold // endings that no player's connection was there for; emptied as they are told, or grow old
 	trusted uint64   // the connection on which a session that plays came last; 0: none
 
--- a/internal/director/loose_test.go
+++ b/internal/director/loose_test.go
@@ -575,8 +575,8 @@
 		}
 	}
 	s.do(PlayerClosed{2})
-	if closed != 1 || s.loop.turned != 0 || len(s.loop.conns) != 1 {
-		t.Fatalf("closed %d times, %d turned away, %d connections", closed, s.loop.turned, len(s.loop.conns))
+	if closed != 1 || len(s.loop.turned) != 0 || len(s.loop.conns) != 1 {
+		t.Fatalf("closed %d times, %d turned away, %d connections", closed, len(s.loop.turned), len(s.loop.conns))
 	}
 }
 
--- a/internal/platform/start.go
+++ b/internal/platform/start.go
@@ -212,7 +212,7 @@
 	silent := max(fewSilent, sockets/silentShare)
 	h.Room = limits.Room{
 		Connections: sockets, Handshakes: sockets, Ping: forever, Patience: time.Second, Handshake: silentMost,
-		Retry: time.Second, Displace: time.Second, Descriptors: sockets, Kept: socketsKept, Silent: silent,
+		Retry: time.Second, Displace: 250 * time.Millisecond, Descriptors: sockets, Kept: socketsKept, Silent: silent,
 	}
 	if p.Limits.MemoryMB > 0 {
 		h.Room.Memory = int64(float64(p.Limits.MemoryMB<<20) * memoryPart)
