--- a/internal/director/need_test.go
+++ b/internal/director/need_test.go
@@ -180,3 +180,40 @@
 		t.Fatalf("hung up on %v, %+v was made", h, made)
 	}
 }
+
+// A board that starts over sends the whole list again: what plays, waits, is doubted or was sent lately goes on as if
+// nothing had been said, and what the list drops is not kept.
+func TestTheWholeListAgainChangesNothing(t *testing.T) {
+	s := newOnNeed(t, 3, 0)
+	whole := func(nodes ...int) ListSaid {
+		m := wire.List{Type: wire.Whole, Serial: 9, Titles: []wire.Title{{Title: "t", Base: 0, Copies: 8}}}
+		for _, i := range nodes {
+			m.Nodes = append(m.Nodes, up(i))
+		}
+		return ListSaid{m}
+	}
+	s.asks(1, "a", "clip")
+	d := s.dials()[0]
+	s.do(LinkMade{d.Node, d.Link})
+	s.do(says(d.Link, "a", wire.Accepted)) // plays
+	s.asks(1, "b", "exam")                 // waits for a connection, or is out
+	s.forget()
+	s.do(whole(0, 1, 2))
+	if len(s.hungUp()) != 0 || len(s.dials()) != 0 || len(s.told(wire.Over, wire.Errored, wire.Nack)) != 0 || s.loop.playing != 1 || s.loop.owed != 1 {
+		t.Fatalf("%+v", s.all)
+	}
+	var rest []int
+	for i := range 3 {
+		if name(i) != d.Node {
+			rest = append(rest, i)
+		}
+	}
+	s.do(whole(rest...)) // the node is not named any more: what plays goes on while its connection stands
+	if s.loop.playing != 1 || s.loop.nodes[d.Node].open {
+		t.Fatal("what the list drops is kept, or what plays was cut")
+	}
+	s.do(LinkLost{Link: d.Link})
+	if s.loop.playing != 0 || s.loop.nodes[d.Node] != nil {
+		t.Fatal("nothing will be heard of it any more")
+	}
+}
--- a/internal/platform/crossing_test.go
+++ b/internal/platform/crossing_test.go
@@ -287,3 +287,107 @@
 		})
 	}
 }
+
+// Every message, cut at each of its bytes, is read as the whole one is: a viewer's set-up, a node's answer, an event of
+// the board.
+func TestMessagesCutAtEveryByte(t *testing.T) {
+	b := newBoard(t)
+	p := start(t, 2, b.ln.Addr().String())
+	_, board := b.next(t)
+	v := p.viewer()
+	raw := aSetup(0, atHome)
+	for cut := 1; cut < len(raw); cut++ {
+		id := uint64(cut)
+		raw := aSetup(id, atHome)
+		v.send(raw[:cut])
+		v.passedElsewhere(p) // what came before the rest has been read
+		v.send(raw[cut:])
+		v.expect(kindAnswer, id, codeDescription)
+		v.send(release(id, causeEnded))
+		v.expect(kindHeard, id, 0)
+	}
+	n := p.nodes[0]
+	whole := good(sessionID(5000))
+	for cut := 1; cut < len(whole); cut++ {
+		id := uint64(5000 + cut)
+		text := good(sessionID(id))
+		n.answers(func(string) string { return text[:cut] })
+		before := n.count(methodSetup + " ")
+		v.send(aSetup(id, atHome))
+		p.wait("no attempt", func() bool { return n.count(methodSetup+" ") > before })
+		n.says(text[cut:])
+		v.expect(kindAnswer, id, codeDescription)
+		v.send(release(id, causeEnded))
+		v.expect(kindHeard, id, 0)
+	}
+	n.answers(good)
+	number := uint64(4)
+	for cut := range len(event(0, 0, 0, "")) {
+		drains := event(number, 0, byte(number%2)^1, n.ln.Addr().String()) // drains, is ready, drains, ...
+		board.Write(drains[:cut])
+		board.Write(drains[cut:])
+		number++
+	}
+	board.Write(event(number, 0, 1, n.ln.Addr().String()))
+	sent := func() int { return n.count(methodSetup + " ") }
+	for id := uint64(9000); ; id++ {
+		before := sent()
+		v.send(aSetup(id, map[byte]string{codePlace: "home:0;copies:2;top:1"}))
+		v.expect(kindAnswer, id, codeDescription)
+		v.send(release(id, causeEnded))
+		v.expect(kindHeard, id, 0)
+		if sent() == before && p.nodes[1].count(methodSetup+" ") > 6 { // it drains, as the last event says
+			break
+		}
+		if id == 9400 {
+			t.Fatal("the last event was not read")
+		}
+	}
+}
+
+// passedElsewhere waits until a director has read what was sent before on other connections.
+func (v *viewer) passedElsewhere(p *program) {
+	v.t.Helper()
+	if p.beside == nil {
+		p.beside = p.viewer()
+	}
+	p.beside.passed()
+}
+
+// A node closes its connection as a set-up is written on it. Whichever comes first: one final answer, a paid set-up
+// once at most where it may have run, and never a word that coming again is harmless then.
+func TestAnIdleConnectionClosedAsASetUpIsWritten(t *testing.T) {
+	p := start(t, 1, "")
+	n, v := p.nodes[0], p.viewer()
+	for id := uint64(1); id <= 40; id++ {
+		v.send(aSetup(1000+id, atHome)) // so that there is a connection
+		m, ok := v.next()
+		if !ok || m.kind != kindAnswer && m.kind != kindRelease {
+			t.Fatalf("%v, kind %d", ok, m.kind)
+		}
+		if m.kind == kindAnswer {
+			v.send(release(1000+id, causeEnded))
+			v.expect(kindHeard, 1000+id, 0)
+		}
+		before := n.count("Session: " + sessionID(id))
+		n.mu.Lock()
+		for _, c := range n.conns {
+			if id%2 == 0 {
+				c.(*net.TCPConn).SetLinger(0)
+			}
+			c.Close()
+		}
+		n.conns = nil
+		n.mu.Unlock()
+		v.send(aSetup(id, map[byte]string{codePlace: "home:0;copies:1;top:1", codeClass: "exam", codeWait: "1000"}))
+		m, ok = v.next()
+		sent := n.count("Session: "+sessionID(id)) - before
+		if !ok || m.session != id || m.kind != kindAnswer && m.kind != kindRelease || sent > 1 {
+			t.Fatalf("%v, kind %d, session %d, sent %d times", ok, m.kind, m.session, sent)
+		}
+		if m.kind == kindAnswer {
+			v.send(release(id, causeEnded))
+			v.expect(kindHeard, id, 0)
+		}
+	}
+}
--- a/internal/platform/program_test.go
+++ b/internal/platform/program_test.go
@@ -139,10 +139,11 @@
 
 // A program is a director, with the nodes that its list names.
 type program struct {
-	t     *testing.T
-	d     *daemon.Daemon
-	nodes []*standIn
-	ends  atomic.Int32 // viewers' connections that the director has seen end
+	t      *testing.T
+	d      *daemon.Daemon
+	nodes  []*standIn
+	beside *viewer      // for tests beside what is tried
+	ends   atomic.Int32 // viewers' connections that the director has seen end
 }
 
 // A watched front counts the viewers' connections that have ended.
--- a/internal/seeded/seeded.go
+++ b/internal/seeded/seeded.go
@@ -1,6 +1,6 @@
 // Package seeded is for tests. It gives the drawn tests of every package that imports it one seed, so that a run is the
 // same as the last: a verdict never changes without a change of the code. On the command line -rapid.seed still draws
-// others. And it marks tests of faults that are open.
+// others.
 package seeded
 
 import (
