--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -444,6 +444,7 @@
 
 // carryOut does what the loop wants done.
 func (d *Daemon) carryOut(outs []director.Output) (ended bool) {
+	var stay []uint64
 	for _, o := range outs {
 		switch o := o.(type) {
 		case director.TellPlayer:
@@ -465,7 +466,7 @@
 		case director.ClosePlayer:
 			if c := d.players[o.Conn]; c == nil {
 			} else if p, ok := c.Cookie().(*peer); ok && o.Idle && p.pending.Load() > 0 {
-				d.inbox.put(item{in: director.PlayerStays{Conn: o.Conn}})
+				stay = append(stay, o.Conn)
 			} else if o.Code == 0 {
 				c.Cut()
 			} else {
@@ -508,6 +509,9 @@
 			ended = true
 		}
 	}
+	for _, conn := range stay { // before what it said is taken
+		ended = d.carryOut(d.loop.Step(d.now(), director.PlayerStays{Conn: conn})) || ended
+	}
 	return ended
 }
 
--- a/internal/director/nodes.go
+++ b/internal/director/nodes.go
@@ -105,8 +105,8 @@
 		}
 	}
 	// The try itself is counted already, once.
-	plan := l.limit(limits.Event{What: limits.Dial, Nodes: l.linkSockets() - 1, Spare: spare != nil})
-	if plan.HangUp {
+	plan := *l.limit(limits.Event{What: limits.Dial, Nodes: l.linkSockets() - 1, Spare: spare != nil})
+	if plan.HangUp { // by which the limits may be asked again
 		l.hangUp(spare)
 	}
 	return plan.Admit
--- a/internal/platform/crossing_test.go
+++ b/internal/platform/crossing_test.go
@@ -36,9 +36,19 @@
 // gated starts a director whose loop stands still in its first request until the gate is opened; the request is sent,
 // and the loop stands, when it returns.
 func gated(t *testing.T, nodes int) (*program, *gate) {
+	t.Helper()
+	p, g := gateIn(t, 512, nodes)
+	v := p.viewer()
+	v.send(aSetup(1, atHome))
+	<-g.entered
+	return p, g
+}
+
+// gateIn starts a director whose loop will stand still in its first request, with so many descriptors.
+func gateIn(t *testing.T, sockets, nodes int) (*program, *gate) {
 	t.Helper()
 	g := &gate{entered: make(chan struct{}), open: make(chan struct{})}
-	p := startWith(t, nodes, "", settings, func(m director.Decider) director.Decider { g.Decider = m; return g })
+	p := startIn(t, sockets, nodes, "", settings, func(m director.Decider) director.Decider { g.Decider = m; return g })
 	t.Cleanup(func() {
 		select {
 		case <-g.open:
@@ -46,9 +56,6 @@
 			close(g.open)
 		}
 	})
-	v := p.viewer()
-	v.send(aSetup(1, atHome))
-	<-g.entered
 	return p, g
 }
 
@@ -391,3 +398,27 @@
 		}
 	}
 }
+
+// An idle connection is let go for a newcomer while a request of its own stands in line right behind that one's knock.
+func TestARequestThatCrossesItsConnectionsBeingLetGo(t *testing.T) {
+	p, g := gateIn(t, socketsKept+fewSilent+4, 1) // room for two viewers
+	idle, busy := p.viewer(), p.viewer()
+	idle.send(release(77, causeEnded)) // knocks, and asks for nothing
+	idle.expect(kindHeard, 77, 0)
+	p.wait("it was not let in", func() bool { used, _ := p.d.Room(); return used == 1 })
+	time.Sleep(300 * time.Millisecond) // idle for long enough to make place
+	busy.send(aSetup(1, atHome))
+	<-g.entered
+	newcomer := p.viewer()
+	newcomer.send(aSetup(2, atHome))
+	newcomer.passed()
+	idle.send(aSetup(3, atHome))
+	idle.passed()
+	close(g.open)
+	busy.expect(kindAnswer, 1, codeDescription)
+	for session, v := range map[uint64]*viewer{2: newcomer, 3: idle} {
+		if m, ok := v.next(); !ok || m.session != session || m.kind != kindAnswer && m.kind != kindRelease {
+			t.Fatalf("%v, kind %d of session %d; session %d is owed a final answer", ok, m.kind, m.session, session)
+		}
+	}
+}
--- a/internal/platform/program_test.go
+++ b/internal/platform/program_test.go
@@ -183,6 +183,12 @@
 
 // startWith is start with other settings, and with something around the module.
 func startWith(t *testing.T, nodes int, board, settings string, around func(director.Decider) director.Decider) *program {
+	t.Helper()
+	return startIn(t, 512, nodes, board, settings, around)
+}
+
+// startIn is startWith with so many descriptors.
+func startIn(t *testing.T, sockets, nodes int, board, settings string, around func(director.Decider) director.Decider) *program {
 	t.Helper()
 	p := &program{t: t}
 	var targets []target
@@ -200,8 +206,8 @@
 		board = "127.0.0.1:1"
 	}
 	posting, err := parsePosting(fmt.Appendf(nil, `{"name":"n0","listen":"127.0.0.1:0","seed":"1f","board":%q,
- "limits":{"cores":1,"memory_mb":256,"sockets":512},"settings":%s,
- "known":{"rev":3,"notices":[{"rev":3,"pool":{"rev":3,"all":true,"targets":%s}}]}}`, board, settings, known))
+ "limits":{"cores":1,"memory_mb":256,"sockets":%d},"settings":%s,
+ "known":{"rev":3,"notices":[{"rev":3,"pool":{"rev":3,"all":true,"targets":%s}}]}}`, board, sockets, settings, known))
 	if err != nil {
 		t.Fatal(err)
 	}
