--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -1,6 +1,8 @@
 package emulator
 
 import (
+	"fmt"
+	"math"
 	"math/rand/v2"
 	"path/filepath"
 	"reflect"
@@ -8,7 +10,10 @@
 	"testing"
 	"time"
 
+	"fordusher/internal/conf"
 	"fordusher/internal/day"
+	"fordusher/internal/director"
+	"fordusher/internal/wire"
 	"fordusher/internal/witness"
 )
 
@@ -107,6 +112,84 @@
 	}
 }
 
+// Nodes that have just started, and twenty to thirty directors, a third of which is killed within the warm-up and forgets
+// what it has sent: by the record, what reaches a node from all of them together in any tipping time stays within the
+// budget N of its warmth and what chance may add, 2 x root of N + 2; the node is used before it is warm; and a
+// baseline that looks at nothing breaks it.
+func TestTheFleetTogetherOnColdNodes(t *testing.T) {
+	most := func(r *Result, terms witness.Terms) (worst float64, early int) {
+		worst = math.Inf(-1)
+		sent := map[string][]time.Duration{}
+		started, died := map[string]witness.Record{}, map[string]bool{}
+		for _, x := range r.Records {
+			switch x.What {
+			case witness.Died:
+				died[x.Node] = true
+				delete(started, x.Node)
+			case witness.Started:
+				if died[x.Node] { // at the day's begin they are warm
+					started[x.Node], sent[x.Node] = x, nil
+				}
+			case wire.Setup:
+				n, ok := started[x.Node]
+				age := x.At - n.At
+				if !ok || age > terms.Warmup {
+					continue
+				}
+				early++
+				all := append(sent[x.Node], x.At)
+				for len(all) > 0 && all[0] <= x.At-terms.TipAfter {
+					all = all[1:]
+				}
+				sent[x.Node] = all
+				warmth := terms.ColdFrom + (1-terms.ColdFrom)*age.Seconds()/terms.Warmup.Seconds()
+				budget := n.Places * terms.Multiple * warmth * terms.TipAfter.Seconds() / terms.Warmup.Seconds()
+				worst = max(worst, float64(len(all))-(budget+2*math.Sqrt(budget)+2))
+			}
+		}
+		return worst, early
+	}
+	fell := 0 // a stand-in node falls as soon as its budget is passed, so that is as far as a baseline gets
+	for seed, directors := range []int{20, 25, 30} {
+		s, err := day.Read("cold.jsonc", fmt.Appendf(nil, `{"length": "9s", "requests": 5000, "directors": %d, "nodes": 12, "racks": 3,
+ "titles": 12, "load": 2, "viewers": {"mean_length": "400ms"}, "list": {"notice_low": "10ms", "notice_high": "300ms", "silent_notice": "1s"},
+ "troubles": [{"kind": "crash", "at": "2s", "for": "400ms", "share": 0.5},
+  {"kind": "balancer_roll", "at": "2600ms", "for": "1500ms", "share": 0.34, "size": 0.2}]}`, directors))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for name, module := range map[string]func(h *conf.House, seed uint64) director.Decider{"module": nil, "baseline": day.Baselines["least-middle"]} {
+			r, err := Run(s, uint64(seed), Options{Workers: 4, Module: module})
+			if err != nil {
+				t.Fatal(err)
+			}
+			worst, early := most(r, r.Terms)
+			falls := 0
+			for _, x := range r.Records {
+				if x.What == witness.Died && x.Why == "pushed over" {
+					falls++
+				}
+			}
+			if name == "baseline" {
+				fell += falls
+				continue
+			}
+			if falls > 0 {
+				t.Errorf("%d directors, seed %d: %d nodes fell", directors, seed, falls)
+			}
+			if worst > 0 {
+				t.Errorf("%d directors, seed %d: %.1f set-ups beyond what chance may add", directors, seed, worst)
+			}
+			if early < 6 {
+				t.Errorf("%d directors, seed %d: %d set-ups reached nodes before they were warm", directors, seed, early)
+			}
+		}
+	}
+	if fell == 0 {
+		t.Error("with the baseline no node fell: the day is too easy to show anything")
+	}
+}
+
 // What a script can say can be written and read again.
 func TestScriptsAreWrittenAsTheyAreRead(t *testing.T) {
 	r := rand.New(rand.NewPCG(1, 1))
