A node stays needed while anything plays there, also on a connection that stood idle before

The change to connections on need brought it in: dispatch told reach that a node is needed only where no connection stood (account.go, dispatch), so a session set up on a connection whose last one had ended played at a node that counted as unneeded: hung up on as idle, given away for want of descriptors, and not connected to again when it was lost, so that its end was never heard.

--- a/internal/director/account.go
+++ b/internal/director/account.go
@@ -561,11 +561,12 @@
 	l.legs[g.id], n.legs[g.id] = g, g
 	l.move(s, setting)
 	g.late = l.timers.Add(g.stop, due{timerLeg, g.id})
+	coming := l.needed(n)
 	switch {
 	case n.up && n.greeted && !n.trying:
 		l.send(g)
 	case n.up, n.trying: // or its connection is doubted: one that is proven anew is as good
-	case l.needed(n):
+	case coming:
 	default:
 		l.legEnds(g, l.unmade(n), nil)
 	}
--- a/internal/director/need_test.go
+++ b/internal/director/need_test.go
@@ -133,11 +133,23 @@
 // A node that closes an idle connection is not connected to again for nothing; one where something plays is, at once.
 func TestALostConnectionIsMadeAgainOnNeed(t *testing.T) {
 	s := newOnNeed(t, 1, 0)
-	s.asks(1, "a", "clip")
+	s.asks(1, "z", "clip")
 	link := s.links[name(0)]
 	s.do(LinkMade{name(0), link})
+	s.do(says(link, "z", wire.Accepted))
+	s.do(says(link, "z", wire.Ended)) // the connection has had nothing to do since
+	s.asks(1, "a", "clip")
 	s.do(says(link, "a", wire.Accepted))
 	s.forget()
+	s.pass(s.loop.pace.Keep + time.Second)
+	if l := s.links[name(0)]; l != link { // quiet for so long it was checked by another, not hung up on
+		s.do(LinkMade{name(0), l})
+		link = l
+	}
+	if s.loop.playing != 1 || !s.loop.nodes[name(0)].up {
+		t.Fatal("hung up on with a session playing")
+	}
+	s.forget()
 	s.do(LinkLost{Link: link})
 	if len(s.dials()) != 1 || s.loop.playing != 1 {
 		t.Fatal("not connected to again")
