Who has begun a message is not crowded out by who says nothing; write side held back

By review: with a bound on silent viewers of an eighth of the descriptors (32 of 256), a flood of silent connections reset a request that came in pieces as soon as it was the oldest (transport, crowdOut). One that has said nothing goes first now; the test fails without it. A client that leaves while what it is answered with is held back is seen to leave at once: a test on real sockets, which found nothing.

--- a/internal/platform/crossing_test.go
+++ b/internal/platform/crossing_test.go
@@ -422,3 +422,37 @@
 		}
 	}
 }
+
+// A client that does not read holds what is written to it back; that it has left is seen all the same, and at once.
+func TestAClientThatLeavesWhileItsAnswersAreHeldBack(t *testing.T) {
+	for name, leave := range map[string]func(v *viewer){
+		"closes": func(v *viewer) { v.c.Close() },
+		"resets": func(v *viewer) { v.reset() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := startWith(t, 1, "", oneSeat, nil)
+			paid := map[byte]string{codePlace: "home:0;copies:1;top:1", codeClass: "exam"}
+			first, v, last := p.viewer(), p.viewer(), p.viewer()
+			first.send(aSetup(1, paid))
+			first.expect(kindAnswer, 1, codeDescription)
+			v.c.(*net.TCPConn).SetReadBuffer(4096)
+			many := []byte{}
+			for range 12_000 { // what they are answered with is more than two kernels hold, and less than the queue does
+				many = append(many, newViewer(kindTest, 99).param(codeCause, []byte{0}).done()...)
+			}
+			v.send(many)
+			v.send(aSetup(2, paid)) // there is no seat for it
+			p.wait("it was not taken", func() bool { return p.d.Counts().Taken == 2 })
+			leave(v)
+			p.wait("its end was not seen", func() bool { return p.d.Counts().Gone == 1 })
+			last.send(aSetup(3, paid))
+			last.passed()
+			p.nodes[0].says(ended(sessionID(1), causeEnded))
+			last.expect(kindAnswer, 3, codeDescription)
+			if n := p.nodes[0].count("Session: " + sessionID(2)); n != 0 {
+				t.Fatalf("%d messages went to the node for who had left", n)
+			}
+		})
+	}
+}
--- a/internal/transport/plain.go
+++ b/internal/transport/plain.go
@@ -117,13 +117,19 @@
 	}
 }
 
-// crowdOut resets the connection that has said nothing whole for longest.
+// crowdOut resets the connection that has said nothing whole for longest: one that has said nothing at all, if there is
+// one, since what comes in pieces may be a request.
 func (s *Server) crowdOut() {
 	var oldest *Conn
+	begun := false // it has said something
 	s.mu.Lock()
 	for c := range s.conns {
-		if !c.whole.Load() && (oldest == nil || c.came.Before(oldest.came)) {
-			oldest = c
+		if c.whole.Load() {
+			continue
+		}
+		spoke := c.heard.Load() != 0
+		if oldest == nil || begun && !spoke || begun == spoke && c.came.Before(oldest.came) {
+			oldest, begun = c, spoke
 		}
 	}
 	s.mu.Unlock()
--- a/internal/transport/plain_test.go
+++ b/internal/transport/plain_test.go
@@ -133,3 +133,41 @@
 		t.Fatal("half a message was waited for")
 	}
 }
+
+// Among those who have said nothing whole, one whose message comes in pieces stays before one that has said nothing.
+func TestWhoHasBegunAMessageIsNotCrowdedOut(t *testing.T) {
+	h := &heardPlain{}
+	bounds := plainBounds
+	bounds.Handshake = time.Minute
+	s, err := ServePlain("127.0.0.1:0", byLine, bounds, h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	slow, err := net.Dial("tcp", s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer slow.Close()
+	slow.Write([]byte("\x02"))
+	heard := func() bool {
+		n := 0
+		s.Each(func(c *Conn) {
+			if c.heard.Load() != 0 {
+				n++
+			}
+		})
+		return n == 1
+	}
+	h.wait(t, "the beginning did not come", heard)
+	for range bounds.Pending + 2 { // more than may be silent
+		c, err := net.Dial("tcp", s.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		time.Sleep(5 * time.Millisecond)
+	}
+	slow.Write([]byte("a"))
+	h.wait(t, "the message did not come whole", func() bool { return len(h.said) == 1 })
+}
