--- a/internal/platform/crossing_test.go
+++ b/internal/platform/crossing_test.go
@@ -80,14 +80,17 @@
 	}
 }
 
+// leaves is how a client may leave that has asked for session 2.
+var leaves = map[string]func(v *viewer){
+	"closes":      func(v *viewer) { v.c.Close() },
+	"half-closes": func(v *viewer) { v.c.(*net.TCPConn).CloseWrite() },
+	"resets":      func(v *viewer) { v.reset() },
+	"cancels":     func(v *viewer) { v.send(release(2, causeEnded)); v.passed() },
+}
+
 // A request whose client leaves while the loop is busy with another one is never sent on.
 func TestAClientThatLeavesWhileItsRequestWaitsForTheLoop(t *testing.T) {
-	for name, leave := range map[string]func(v *viewer){
-		"closes":      func(v *viewer) { v.c.Close() },
-		"half-closes": func(v *viewer) { v.c.(*net.TCPConn).CloseWrite() },
-		"resets":      func(v *viewer) { v.reset() },
-		"cancels":     func(v *viewer) { v.send(release(2, causeEnded)); v.passed() },
-	} {
+	for name, leave := range leaves {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			p, g := gated(t, 1)
@@ -117,12 +120,7 @@
 var oneSeat = strings.Replace(settings, `"shelves":1`, `"licence_cap":[0,1],"shelves":1`, 1)
 
 func TestAClientThatLeavesWhileItsRequestIsHeld(t *testing.T) {
-	for name, leave := range map[string]func(v *viewer){
-		"closes":      func(v *viewer) { v.c.Close() },
-		"half-closes": func(v *viewer) { v.c.(*net.TCPConn).CloseWrite() },
-		"resets":      func(v *viewer) { v.reset() },
-		"cancels":     func(v *viewer) { v.send(release(2, causeEnded)); v.passed() },
-	} {
+	for name, leave := range leaves {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			p := startWith(t, 1, "", oneSeat, nil)
@@ -147,11 +145,7 @@
 }
 
 func TestAClientThatLeavesBetweenTwoAttempts(t *testing.T) {
-	for name, leave := range map[string]func(v *viewer){
-		"closes":  func(v *viewer) { v.c.Close() },
-		"resets":  func(v *viewer) { v.reset() },
-		"cancels": func(v *viewer) { v.send(release(2, causeEnded)); v.passed() },
-	} {
+	for name, leave := range leaves {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			b := newBoard(t)
@@ -178,12 +172,7 @@
 
 // An attempt that is out when its client leaves is given up, and its answer, which crosses that, reaches nobody.
 func TestAClientThatLeavesWithAnAttemptOut(t *testing.T) {
-	for name, leave := range map[string]func(v *viewer){
-		"closes":      func(v *viewer) { v.c.Close() },
-		"half-closes": func(v *viewer) { v.c.(*net.TCPConn).CloseWrite() },
-		"resets":      func(v *viewer) { v.reset() },
-		"cancels":     func(v *viewer) { v.send(release(2, causeEnded)); v.passed() },
-	} {
+	for name, leave := range leaves {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			p := startWith(t, 1, "", oneSeat, nil)
--- a/reach/reach_test.go
+++ b/reach/reach_test.go
@@ -124,3 +124,80 @@
 		}
 	}
 }
+
+// Made on need: whatever happens, no node is tried that nobody needs, and one that is needed and not connected is tried
+// again within the longest pause once there is room.
+func TestTriesOnNeed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		onNeed := pace
+		onNeed.OnNeed = true
+		r := New(1, onNeed)
+		listed, needed, trying, up := map[int]bool{}, map[int]bool{}, map[int]bool{}, map[int]bool{}
+		since := map[int]time.Duration{} // needed, and neither tried nor connected
+		var now, ring time.Duration
+		step := func(e Event) Plan {
+			p := r.Step(now, e)
+			for _, i := range p.Dial {
+				if trying[i] || !listed[i] || !needed[i] && e.What != Doubted {
+					t.Fatalf("node %d is tried: trying %v, listed %v, needed %v", i, trying[i], listed[i], needed[i])
+				}
+				trying[i] = true
+				delete(since, i)
+			}
+			if len(trying) != r.Tries() || len(trying) > onNeed.AtOnce+1 {
+				t.Fatalf("%d tries, %d are counted", len(trying), r.Tries())
+			}
+			ring = p.Ring
+			for i, at := range since {
+				if len(trying) < onNeed.AtOnce && now > at+onNeed.Most+time.Second {
+					t.Fatalf("node %d is needed since %v", i, at)
+				}
+			}
+			return p
+		}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond
+			for ring > 0 && ring <= now {
+				step(Event{What: Ring})
+			}
+			i := rapid.IntRange(0, 7).Draw(t, "node")
+			switch what := rapid.SampledFrom([]What{Listed, Needed, Unneeded, Made, Failed, Refused, Lost, Crowded}).Draw(t, "what"); what {
+			case Listed:
+				listed[i] = true
+				step(Event{Node: i, What: Listed})
+			case Needed, Unneeded:
+				if !listed[i] {
+					continue
+				}
+				needed[i] = what == Needed
+				delete(since, i)
+				if needed[i] && !trying[i] && !up[i] {
+					since[i] = now
+				}
+				step(Event{Node: i, What: what})
+			case Made, Failed, Refused, Crowded:
+				if !trying[i] {
+					continue
+				}
+				delete(trying, i)
+				up[i] = what == Made
+				if needed[i] && !up[i] {
+					since[i] = now
+				}
+				p := step(Event{Node: i, What: what})
+				if p.Suspect && (what == Made || what == Crowded) || len(p.Dead) > 0 && what == Crowded {
+					t.Fatalf("%+v", p)
+				}
+			case Lost:
+				if !up[i] {
+					continue
+				}
+				delete(up, i)
+				if needed[i] {
+					since[i] = now
+				}
+				step(Event{Node: i, What: Lost})
+			}
+		}
+	})
+}
