--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -174,6 +174,7 @@
 	left    atomic.Bool // a player's connection has ended
 	said    []item      // what stands in line, of a player; the inbox's
 	lined   bool        // it has a place in line; the inbox's
+	undone  []string    // ids cancelled while something of it was in the batch in hand; at most a turn. The inbox's
 }
 
 // inbox is how everybody else reaches the loop. What connections say is bounded peer by peer; all else
@@ -211,6 +212,9 @@
 		b.line = append(b.line, i.peer)
 		i.peer.lined = true
 	}
+	if e, ok := i.in.(director.PlayerSaid); ok && len(i.peer.undone) > 0 { // what was cancelled came before this
+		i.peer.undone = slices.DeleteFunc(i.peer.undone, func(id string) bool { return id == e.Message.ID })
+	}
 	i.peer.said = append(i.peer.said, i)
 	b.stood++
 	b.mu.Unlock()
@@ -272,6 +276,11 @@
 		stands = stands || !ok || e.Message.ID == id
 	}
 	if !stands {
+		if int(i.peer.pending.Load())-1 > len(i.peer.said) { // the request may be in the batch in hand
+			i.peer.undone = append(i.peer.undone[max(0, len(i.peer.undone)-turn+1):], id)
+		} else {
+			i.peer.undone = nil
+		}
 		b.first = append(b.first, i)
 	}
 	b.mu.Unlock()
@@ -281,6 +290,16 @@
 	b.rouse()
 }
 
+// undone tells whether a request of the batch in hand was cancelled meanwhile.
+func (b *inbox) undone(p *peer, id string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if int(p.pending.Load()) <= len(p.said) {
+		p.undone = nil
+	}
+	return slices.Contains(p.undone, id)
+}
+
 // close takes word that a player's connection has ended. What it has asked for is withdrawn from the line where
 // nothing is owed to who has left; the word waits only for what else stands there.
 func (b *inbox) close(i item, owed bool) {
@@ -421,7 +440,7 @@
 	}
 	switch e := i.in.(type) {
 	case director.PlayerSaid:
-		if d.house.Manners.Linger == 0 && i.peer.left.Load() && asks(e) {
+		if d.house.Manners.Linger == 0 && asks(e) && (i.peer.left.Load() || d.inbox.undone(i.peer, e.Message.ID)) {
 			return false // who left while the request waited here is owed nothing, and nothing is begun for it
 		}
 		e.Waited = time.Since(i.came)
--- a/internal/daemon/inbox_test.go
+++ b/internal/daemon/inbox_test.go
@@ -104,6 +104,41 @@
 	}
 }
 
+// A request that is in the loop's hand already, with others before it, is passed over once it is cancelled; one that
+// comes under the same id after that is not.
+func TestACancelReachesTheBatchInHand(t *testing.T) {
+	b, p := newInbox(), &peer{number: 1}
+	b.stand(said(p, wire.Want, "a", ""))
+	b.stand(said(p, wire.Want, "b", ""))
+	if n := len(b.take(nil)); n != 2 {
+		t.Fatalf("%d taken", n)
+	}
+	b.cancel(said(p, wire.Leave, "b", ""), "b")
+	p.pending.Add(-1)
+	if b.undone(p, "a") {
+		t.Fatal("the other one is passed over")
+	}
+	p.pending.Add(-1)
+	if !b.undone(p, "b") {
+		t.Fatal("it is not passed over")
+	}
+	b.take(nil) // the word itself
+	p.pending.Add(-1)
+	b.stand(said(p, wire.Want, "b", ""))
+	b.take(nil)
+	p.pending.Add(-1)
+	if b.undone(p, "b") || len(p.undone) != 0 {
+		t.Fatal("a later one under the same id is passed over")
+	}
+	p.pending.Add(1) // something of it is in hand for as long as this goes on
+	for i := range 10 * turn {
+		b.cancel(said(p, wire.Leave, fmt.Sprint(i), ""), fmt.Sprint(i))
+	}
+	if len(p.undone) > turn || !b.undone(p, fmt.Sprint(10*turn-1)) {
+		t.Fatalf("%d are kept", len(p.undone))
+	}
+}
+
 // Whatever players say, cancel and close, in whatever order: nothing is taken twice or out of its order, no request of
 // who had left before, and the counts come out even.
 func TestTheLineWithWithdrawals(t *testing.T) {
