Media nodes stay connected to where the descriptors allow; on need only where they do not

The cause is not found; what is known is that it came with connections on need, so these are kept to where a connection to each node does not fit (256 descriptors, 200 nodes).

--- a/internal/platform/start.go
+++ b/internal/platform/start.go
@@ -171,6 +171,7 @@
 	socketsKept = 40   // the program's files, pollers and listener, the board and who is being turned away
 	silentShare = 8    // the part of the descriptors that viewers who have said nothing yet may hold
 	fewSilent   = 16
+	viewersPart = 3   // the part of the descriptors that viewers hold at most, as the platform says
 	memoryPart  = 0.8 // of the limit: what the program may hold before it takes nobody more
 	forever     = 24 * time.Hour
 	keepPart    = 0.8 // of the time after which nodes close an idle connection: what is sent must not cross that
@@ -197,9 +198,7 @@
 	h.Manners = director.Manners{
 		AnswerAhead: answerAhead, Connect: connect, PerConnection: perViewer, Greetless: true, Loose: true,
 	}
-	// Hundreds of directors see little traffic each: one that stood connected to every node would cost the nodes more
-	// handshakes and connections than sessions.
-	h.Pace = reach.Pace{First: 100 * time.Millisecond, Most: time.Second, AtOnce: 64, OnNeed: true}
+	h.Pace = reach.Pace{First: 100 * time.Millisecond, Most: time.Second, AtOnce: 64}
 	h.Pace.Keep = time.Duration(keepPart * float64(simwire.Span(t.Permissions.Idle)))
 	if every := simwire.Span(t.Family.Every); every > 0 { // a node with sessions is heard so often
 		h.Pace.Ping = (every + time.Second) / 3
@@ -210,6 +209,8 @@
 		sockets = 1024
 	}
 	silent := max(fewSilent, sockets/silentShare)
+	// Nodes are connected to on need where a connection to each does not fit beside the viewers' part.
+	h.Pace.OnNeed = sockets < socketsKept+silent+sockets/viewersPart+t.Family.Cells
 	h.Room = limits.Room{
 		Connections: sockets, Handshakes: sockets, Ping: forever, Patience: time.Second, Handshake: silentMost,
 		Retry: time.Second, Displace: 250 * time.Millisecond, Descriptors: sockets, Kept: socketsKept, Silent: silent,
