--- a/internal/platform/start.go
+++ b/internal/platform/start.go
@@ -171,7 +171,6 @@
 	socketsKept = 40   // the program's files, pollers and listener, the board and who is being turned away
 	silentShare = 8    // the part of the descriptors that viewers who have said nothing yet may hold
 	fewSilent   = 16
-	viewersPart = 3   // the part of the descriptors that viewers hold at most, as the platform says
 	memoryPart  = 0.8 // of the limit: what the program may hold before it takes nobody more
 	forever     = 24 * time.Hour
 	keepPart    = 0.8 // of the time after which nodes close an idle connection: what is sent must not cross that
@@ -209,12 +208,11 @@
 		sockets = 1024
 	}
 	silent := max(fewSilent, sockets/silentShare)
-	// Nodes are connected to on need where a connection to each does not fit beside the viewers' part.
-	h.Pace.OnNeed = sockets < socketsKept+silent+sockets/viewersPart+t.Family.Cells
 	h.Room = limits.Room{
 		Connections: sockets, Handshakes: sockets, Ping: forever, Patience: time.Second, Handshake: silentMost,
 		Retry: time.Second, Displace: 250 * time.Millisecond, Descriptors: sockets, Kept: socketsKept, Silent: silent,
 	}
+	h.Pace.OnNeed = !h.Room.Fits(t.Family.Cells)
 	if p.Limits.MemoryMB > 0 {
 		h.Room.Memory = int64(float64(p.Limits.MemoryMB<<20) * memoryPart)
 	}
--- a/limits/budget_test.go
+++ b/limits/budget_test.go
@@ -140,3 +140,14 @@
 		t.Fatalf("the busy one was let go: %+v", plan)
 	}
 }
+
+func TestWhetherEveryNodeFits(t *testing.T) {
+	for nodes, fits := range map[int]bool{0: true, 99: true, 100: false, 200: false} {
+		if tight.Fits(nodes) != fits {
+			t.Errorf("%d nodes: %v", nodes, !fits)
+		}
+	}
+	if !(Room{}).Fits(1000) {
+		t.Error("without a bound on descriptors all fit")
+	}
+}
--- a/limits/limits.go
+++ b/limits/limits.go
@@ -45,6 +45,14 @@
 	Silent      int           // of these for players who have not knocked yet
 }
 
+// playersPart is the part of the descriptors that players have to find however many nodes there are.
+const playersPart = 3
+
+// Fits tells whether a connection to each of so many nodes fits beside the players' part of the descriptors.
+func (r Room) Fits(nodes int) bool {
+	return r.Descriptors == 0 || r.Descriptors >= r.Kept+r.Silent+r.Descriptors/playersPart+nodes
+}
+
 // dialCost is how many descriptors a connection takes while it is made.
 const dialCost = 2
 
