Logs name each request, attempt and connection with the reason for its end

Cause: the incident's logs name no request and no reason for a close, so no candidate could be confirmed or excluded from them. Change: the loop tells an observer of every change of state of a request, an attempt and a connection, with a reason; the daemon writes them. A request that ends without an answer is written always, all else where FORDUSHER_LOG_LEVEL is debug, which also raises the log's pace. Without an observer nothing is made. Checked: go vet, and the tests of director, daemon, herald, cmd.

--- a/cmd/fordusher/day.go
+++ b/cmd/fordusher/day.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"os"
 	"os/signal"
 	"runtime/pprof"
@@ -173,8 +172,3 @@
 	}
 	return nil
 }
-
-func logger(out io.Writer) zerolog.Logger {
-	zerolog.TimeFieldFormat = time.RFC3339Nano
-	return zerolog.New(out).With().Timestamp().Logger()
-}
--- /dev/null
+++ b/cmd/fordusher/logging.go
@@ -0,0 +1,33 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fordusher/internal/herald"
+)
+
+// envLogLevel names the variable that says how much is logged: "info", the default, or "debug", which has a line for
+// each change of state of a request, an attempt and a connection.
+const envLogLevel = "FORDUSHER_LOG_LEVEL"
+
+// logLevel reads how much is logged, and the pace that this takes.
+func logLevel(getenv func(string) string) (zerolog.Level, herald.Pace, error) {
+	switch level := getenv(envLogLevel); level {
+	case "", "info":
+		return zerolog.InfoLevel, herald.Usual, nil
+	case "debug":
+		return zerolog.DebugLevel, herald.Verbose, nil
+	default:
+		return 0, herald.Pace{}, fmt.Errorf("%s is %q; it has to be info or debug", envLogLevel, level)
+	}
+}
+
+// logger writes structured lines, one JSON object each.
+func logger(out io.Writer) zerolog.Logger {
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+	return zerolog.New(out).With().Timestamp().Logger()
+}
--- a/cmd/fordusher/platform.go
+++ b/cmd/fordusher/platform.go
@@ -42,9 +42,13 @@
 	if mb := posting.Limits.MemoryMB; mb > 0 {
 		debug.SetMemoryLimit(int64(float64(mb<<20) * heapPart))
 	}
-	lines := herald.New(os.Stderr)
+	level, pace, err := logLevel(os.Getenv)
+	if err != nil {
+		return badInput{err}
+	}
+	lines := herald.New(os.Stderr, pace)
 	defer lines.Close(time.Second)
-	log := logger(lines)
+	log := logger(lines).Level(level)
 	house := posting.House(time.Now())
 	var front daemon.Front = platform.NewFront(posting, house, time.Now)
 	if c.Trace {
--- a/cmd/fordusher/serve.go
+++ b/cmd/fordusher/serve.go
@@ -58,9 +58,13 @@
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(400) // a director's heap is small, and its time is not
 	}
-	lines := herald.New(os.Stderr)
+	level, pace, err := logLevel(os.Getenv)
+	if err != nil {
+		return badInput{err}
+	}
+	lines := herald.New(os.Stderr, pace)
 	defer lines.Close(time.Second)
-	logger := logger(lines)
+	logger := logger(lines).Level(level)
 	var descriptors syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &descriptors); err != nil {
 		return fmt.Errorf("the limit on descriptors: %w", err)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -112,6 +112,7 @@
 	if len(house.Nodes) > 0 || len(house.Titles) > 0 { // until the list's source is heard, if there is one
 		d.inbox.put(item{in: director.ListSaid{Message: wire.List{Type: wire.Whole, Nodes: house.Nodes, Titles: house.Titles}}})
 	}
+	d.loop.Observe(d.logEvent)
 	go d.run()
 	if house.List != "" {
 		go d.follow()
@@ -678,10 +679,10 @@
 	}
 }
 
-func (h players) Closed(c *transport.Conn, _ error, _ []uint64) {
+func (h players) Closed(c *transport.Conn, why error, _ []uint64) {
 	if p, ok := c.Cookie().(*peer); ok {
 		p.left.Store(true)
-		h.d.inbox.close(item{in: director.PlayerClosed{Conn: p.number}, peer: p}, h.d.house.Manners.Linger > 0)
+		h.d.inbox.close(item{in: director.PlayerClosed{Conn: p.number, Reason: clip(why.Error())}, peer: p}, h.d.house.Manners.Linger > 0)
 	}
 }
 
@@ -710,8 +711,8 @@
 	}
 }
 
-func (h *link) Closed(_ *transport.Conn, _ error, unsent []uint64) {
-	h.d.inbox.put(item{in: director.LinkLost{Link: h.peer.number, Unsent: unsent}})
+func (h *link) Closed(_ *transport.Conn, why error, unsent []uint64) {
+	h.d.inbox.put(item{in: director.LinkLost{Link: h.peer.number, Unsent: unsent, Reason: clip(why.Error())}})
 }
 
 type source struct {
--- a/internal/director/account.go
+++ b/internal/director/account.go
@@ -152,7 +152,7 @@
 			l.conns[e.Conn] = &conn{number: e.Conn, turned: true, leaving: true}
 			l.timers.Add(l.now+turnedFor, due{timerTurned, e.Conn})
 			if l.turned = append(l.turned, e.Conn); len(l.turned) > turnedMost { // the first of them has its answer by now
-				l.do(ClosePlayer{Conn: l.turned[0], Code: 1013, Why: "no room", Idle: true})
+				l.closeClient(ClosePlayer{Conn: l.turned[0], Code: 1013, Why: "no room", Idle: true})
 				l.turned = l.turned[1:]
 			}
 			return
@@ -170,6 +170,12 @@
 	l.do(Welcome{e.Conn})
 }
 
+// closeClient asks for a client's connection to be closed.
+func (l *Loop) closeClient(o ClosePlayer) {
+	l.event(Event{Kind: ClientClosed, Conn: o.Conn, Reason: o.Why})
+	l.do(o)
+}
+
 // limit tells the limits what happened and carries out their plan.
 func (l *Loop) limit(e limits.Event) *limits.Plan {
 	plan := l.limits.Step(l.now, e)
@@ -188,7 +194,7 @@
 		if c := l.conns[l.seats[x.Conn]]; c != nil {
 			c.leaving = true
 		}
-		l.do(ClosePlayer{Conn: l.seats[x.Conn], Code: x.Code, Why: why, Idle: x.Code != 1008})
+		l.closeClient(ClosePlayer{Conn: l.seats[x.Conn], Code: x.Code, Why: why, Idle: x.Code != 1008})
 	}
 	if plan.Log != "" {
 		l.log("%s", plan.Log)
@@ -212,7 +218,7 @@
 	c := l.conns[e.Conn]
 	if c == nil { // it closed a moment ago, or was not let in
 		if s := l.keys[e.Message.ID]; l.manners.Loose && e.Message.Type == wire.Leave && s != nil && s.answered {
-			l.gone(s) // what plays belongs to no connection, and its ending neither
+			l.gone(s, "cancelled by the client") // what plays belongs to no connection, and its ending neither
 		}
 		return
 	}
@@ -243,7 +249,7 @@
 		l.want(c, m, e.Waited, nil)
 	case wire.Leave:
 		if r != nil && r.session != nil {
-			l.gone(r.session)
+			l.gone(r.session, "cancelled by the client")
 		}
 	case wire.Report:
 		if r == nil {
@@ -251,7 +257,7 @@
 		}
 	default:
 		l.counts.BadWord++
-		l.do(ClosePlayer{Conn: c.number, Code: 1008, Why: "players do not say " + m.Type})
+		l.closeClient(ClosePlayer{Conn: c.number, Code: 1008, Why: "players do not say " + m.Type})
 	}
 }
 
@@ -268,6 +274,7 @@
 		*count++
 		answer := wire.Session{Type: kind, ID: m.ID, Why: why, Backoff: backoff.Milliseconds()}
 		r.answer = &answer
+		l.event(Event{Kind: RequestRefused, Request: m.ID, Conn: c.number, Reason: why})
 		l.do(TellPlayer{Conn: c.number, Message: answer})
 		l.remember(c, m.ID)
 	}
@@ -333,6 +340,7 @@
 		s.name = m.ID
 	}
 	r.session = s
+	l.requestEvent(RequestTaken, s, "")
 	l.busy(c, +1, 0)
 	l.sessions[s.id], l.keys[s.key] = s, s
 	l.owed++
@@ -400,7 +408,8 @@
 	}
 }
 
-func (l *Loop) playerClosed(number uint64) {
+func (l *Loop) playerClosed(e PlayerClosed) {
+	number := e.Conn
 	c := l.conns[number]
 	if c == nil {
 		return
@@ -420,7 +429,7 @@
 		}
 		s.conn = nil
 		if l.stop != nil || l.manners.Linger == 0 {
-			l.gone(s)
+			l.gone(s, "client connection ended: "+e.Reason)
 			continue
 		}
 		s.linger = l.timers.Add(l.now+l.manners.Linger, due{timerLinger, s.id})
@@ -428,12 +437,13 @@
 }
 
 // gone ends a session whose viewer has left: no answer is owed any more.
-func (l *Loop) gone(s *session) {
+func (l *Loop) gone(s *session, reason string) {
 	if s.phase == over {
 		return
 	}
 	if !s.answered {
 		l.counts.Gone++
+		l.requestEvent(RequestAbandoned, s, reason)
 		l.settleAnswer(s, nil)
 	}
 	l.tell(policy.Gone{ID: s.id})
@@ -460,6 +470,7 @@
 	if r := s.conn.requests[s.request]; r != nil {
 		r.answer = answer
 	}
+	l.requestEvent(RequestAnswered, s, answer.Type+" "+answer.Why)
 	l.do(TellPlayer{Conn: s.conn.number, Message: *answer, Description: description})
 }
 
@@ -501,7 +512,7 @@
 	}
 	l.counts.Overdue++
 	l.errored(s, "no answer in time")
-	l.gone(s)
+	l.gone(s, "no answer in time")
 }
 
 // over tells a player that its session has ended.
@@ -560,6 +571,7 @@
 	}
 	l.legs[g.id], n.legs[g.id] = g, g
 	l.move(s, setting)
+	l.attemptEvent(AttemptStarted, g, "")
 	g.late = l.timers.Add(g.stop, due{timerLeg, g.id})
 	coming := l.needed(n)
 	switch {
@@ -577,6 +589,7 @@
 	s := g.session
 	l.moveLeg(g, legSent)
 	g.link, g.node.used = g.node.link, l.now
+	l.attemptEvent(AttemptSent, g, "")
 	l.do(TellNode{Link: g.link, Setup: g.id, Message: wire.Node{
 		Type: wire.Setup, Leg: g.id, Session: s.name, Tariff: l.tariffs[s.tariff].Name, Title: s.title,
 		Rung: s.rung, Rate: l.rateOf(s), Within: max(1, (g.stop - l.now).Milliseconds()), Length: s.length.Milliseconds(),
@@ -671,6 +684,7 @@
 		return
 	}
 	s, n := g.session, g.node
+	l.attemptEvent(AttemptEnded, g, f.String())
 	outcome, proof := neverRan(f)
 	if proof > 0 {
 		l.counts.NeverRan[proof]++
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -57,8 +57,11 @@
 	}
 	// PlayerStays says that a player whom an idle ClosePlayer was meant for has said something meanwhile.
 	PlayerStays struct{ Conn uint64 }
-	// PlayerClosed says that a player's connection has ended.
-	PlayerClosed struct{ Conn uint64 }
+	// PlayerClosed says that a player's connection has ended, and why, for logs.
+	PlayerClosed struct {
+		Conn   uint64
+		Reason string
+	}
 	// LinkMade says that a Connect succeeded.
 	LinkMade struct {
 		Node string
@@ -93,6 +96,7 @@
 	LinkLost struct {
 		Link   uint64
 		Unsent []uint64
+		Reason string // for logs
 	}
 	// Withdrawn says that a leg's set-up was taken back before one byte of it was handed to the kernel.
 	Withdrawn struct{ Leg uint64 }
@@ -280,6 +284,7 @@
 	more          bool // the limits have more to do now
 	counts        Counts
 	oddMove       bool
+	observer      func(Event)
 }
 
 // New starts a director. Boot is a word that no other run of this director has used.
@@ -361,7 +366,7 @@
 	case PlayerSaid:
 		l.playerSaid(e)
 	case PlayerClosed:
-		l.playerClosed(e.Conn)
+		l.playerClosed(e)
 	case PlayerStays:
 		if c := l.conns[e.Conn]; c != nil && c.leaving && !c.turned {
 			c.leaving = false
@@ -472,7 +477,7 @@
 		}
 	case timerLinger:
 		if s := l.sessions[t.id]; s != nil {
-			l.gone(s)
+			l.gone(s, "the client did not come again")
 		}
 	case timerReach:
 		l.ring = 0
@@ -492,7 +497,7 @@
 		l.tellStrangers()
 	case timerTurned:
 		if c := l.conns[t.id]; c != nil && c.turned {
-			l.do(ClosePlayer{Conn: t.id, Code: 1013, Why: "no room"})
+			l.closeClient(ClosePlayer{Conn: t.id, Code: 1013, Why: "no room"})
 		}
 	}
 }
@@ -547,7 +552,7 @@
 	if plan.Done {
 		l.ended = true
 		for conn := range sorted(l.conns) {
-			l.do(ClosePlayer{Conn: conn, Code: 1001, Why: "director closes"})
+			l.closeClient(ClosePlayer{Conn: conn, Code: 1001, Why: "director closes"})
 		}
 		l.do(Ended{})
 		return
@@ -558,7 +563,7 @@
 			case s.phase == playing && plan.End > 0:
 				plan.End--
 				l.over(s, "director closes")
-				l.gone(s)
+				l.gone(s, "director closes")
 			case s.phase != playing && plan.GiveUp && !s.answered:
 				l.answerOverdue(s)
 			}
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -291,7 +291,7 @@
 	s := newStage(t, 3)
 	s.want("1", "exam", key("k"))
 	g := s.oneLeg()
-	s.do(PlayerClosed{1})
+	s.do(PlayerClosed{Conn: 1})
 	s.enter(2)
 	s.do(PlayerSaid{Conn: 2, Message: wire.Session{Type: wire.Want, ID: "9", Tariff: "exam", Title: "t", Key: "k", Wait: 5000}})
 	s.do(said(g, wire.Accepted))
@@ -313,7 +313,7 @@
 	if a := s.answers(); len(a) != 3 || a[2].Type != wire.Errored {
 		t.Fatal(a)
 	}
-	s.do(PlayerClosed{3})
+	s.do(PlayerClosed{Conn: 3})
 	s.pass(999 * ms)
 	if len(s.ends()) != 0 {
 		t.Fatal("ended within the linger")
@@ -329,7 +329,7 @@
 func TestResumedRequestKeepsItsOwnTime(t *testing.T) {
 	s := newStage(t, 3)
 	s.want("1", "exam", func(m *wire.Session) { m.Key = "k" })
-	s.do(PlayerClosed{1})
+	s.do(PlayerClosed{Conn: 1})
 	s.enter(2)
 	s.do(PlayerSaid{Conn: 2, Message: wire.Session{Type: wire.Want, ID: "1", Tariff: "exam", Title: "t", Key: "k", Wait: 500}})
 	s.pass(451 * ms)
@@ -542,7 +542,7 @@
 	if len(s.setups()) != 0 || len(s.answers()) != 0 {
 		t.Fatal("taken after it was told to go")
 	}
-	s.do(PlayerClosed{1})
+	s.do(PlayerClosed{Conn: 1})
 	s.empty()
 }
 
--- a/internal/director/loose.go
+++ b/internal/director/loose.go
@@ -61,7 +61,7 @@
 		}
 	case wire.Leave:
 		if s != nil && (s.answered || s.conn == c) {
-			l.gone(s)
+			l.gone(s, "cancelled by the client")
 		} else {
 			l.counts.Stray++
 		}
@@ -234,7 +234,7 @@
 	l.timers.Cancel(n.idle)
 	n.ping, n.idle = alarm.Handle(0), alarm.Handle(0)
 	if n.old != 0 {
-		l.do(HangUp{n.old})
+		l.closeLink(n, n.old, closedAsSuperseded)
 		l.linkLost(LinkLost{Link: n.old})
 	}
 	n.old, n.link, n.check = n.link, n.check, 0
@@ -253,7 +253,7 @@
 	}
 	old := n.old
 	n.old = 0
-	l.do(HangUp{old})
+	l.closeLink(n, old, closedAsReplaced)
 	delete(l.links, old)
 }
 
@@ -274,7 +274,7 @@
 // restarted ends what plays at a node since before it started anew, and a connection from before with it.
 func (l *Loop) restarted(n *node) {
 	if n.up && n.made < n.born {
-		l.hangUp(n)
+		l.hangUp(n, closedAsRestarted)
 	}
 	for _, g := range sorted(n.legs) {
 		if g.phase == legPlaying && g.began < n.born {
--- a/internal/director/loose_test.go
+++ b/internal/director/loose_test.go
@@ -62,7 +62,7 @@
 	s := newLoose(t, 1)
 	g := s.plays("a", "clip")
 	s.enter(2)
-	s.do(PlayerClosed{1})
+	s.do(PlayerClosed{Conn: 1})
 	s.do(LinkLost{Link: g.Link})
 	if len(s.told(wire.Over)) != 0 || s.loop.playing != 1 {
 		t.Fatal("it ended with a connection")
@@ -80,7 +80,7 @@
 func TestAnEndingWaitsForAConnection(t *testing.T) {
 	s := newLoose(t, 1)
 	g := s.plays("a", "clip")
-	s.do(PlayerClosed{1})
+	s.do(PlayerClosed{Conn: 1})
 	s.do(says(g.Link, "a", wire.Ended))
 	if len(s.told(wire.Over)) != 0 {
 		t.Fatal("told to nobody")
@@ -98,7 +98,7 @@
 		t.Fatal("not told")
 	}
 	g = s.plays2(2, "b")
-	s.do(PlayerClosed{2})
+	s.do(PlayerClosed{Conn: 2})
 	s.do(says(g.Link, "b", wire.Ended))
 	s.now += untoldFor
 	s.enter(3)
@@ -116,14 +116,14 @@
 	g := s.plays("a", "clip")
 	s.plays2(15, "b")
 	s.plays2(16, "c")
-	s.do(PlayerClosed{1})
-	s.do(PlayerClosed{16})
+	s.do(PlayerClosed{Conn: 1})
+	s.do(PlayerClosed{Conn: 16})
 	s.do(says(g.Link, "a", wire.Ended))
 	if at := s.toldOver(); len(at) != 1 || at[0] != 15 {
 		t.Fatalf("told on %v", at)
 	}
 	// Nobody is left on whose connection anything has played, until there is one.
-	s.do(PlayerClosed{15})
+	s.do(PlayerClosed{Conn: 15})
 	s.do(says(g.Link, "b", wire.Ended))
 	s.asks(17, "d", "clip")
 	d := s.oneLeg()
@@ -149,7 +149,7 @@
 	s := newLoose(t, 1)
 	s.loop.limits = limits.New(1, limits.Room{Connections: 10, Handshakes: 10, Ping: time.Hour, Patience: time.Second,
 		Handshake: time.Second, Retry: time.Second})
-	s.do(PlayerClosed{1})
+	s.do(PlayerClosed{Conn: 1})
 	s.enter(1)
 	g := s.plays("a", "clip")
 	s.pass(5 * time.Second)
@@ -490,7 +490,7 @@
 				conn := rapid.SampledFrom([]uint64{1, 2, conns}).Draw(t, "closed")
 				if open[conn] {
 					delete(open, conn)
-					do(PlayerClosed{conn})
+					do(PlayerClosed{Conn: conn})
 					conns++
 					open[conns] = true
 					do(PlayerKnocked{Conn: conns})
@@ -554,7 +554,7 @@
 	s := newLoose(t, 1)
 	s.loop.limits = limits.New(1, limits.Room{Connections: 1, Handshakes: 1, Ping: time.Hour, Patience: time.Second,
 		Handshake: time.Second, Retry: time.Second})
-	s.do(PlayerClosed{1})
+	s.do(PlayerClosed{Conn: 1})
 	s.enter(1)
 	s.plays("a", "clip") // there is room for one
 	s.do(PlayerKnocked{Conn: 2})
@@ -574,7 +574,7 @@
 			closed++
 		}
 	}
-	s.do(PlayerClosed{2})
+	s.do(PlayerClosed{Conn: 2})
 	if closed != 1 || len(s.loop.turned) != 0 || len(s.loop.conns) != 1 {
 		t.Fatalf("closed %d times, %d turned away, %d connections", closed, len(s.loop.turned), len(s.loop.conns))
 	}
--- a/internal/director/need_test.go
+++ b/internal/director/need_test.go
@@ -67,7 +67,7 @@
 // The client leaves while its request waits for a connection: nothing is sent once that is made.
 func TestAClientThatLeavesWhileItsSetUpWaitsForAConnection(t *testing.T) {
 	for name0, leave := range map[string]Input{
-		"closes":  PlayerClosed{1},
+		"closes":  PlayerClosed{Conn: 1},
 		"cancels": PlayerSaid{Conn: 1, Message: wire.Session{Type: wire.Leave, ID: "a"}},
 	} {
 		s := newOnNeed(t, 1, 0)
--- a/internal/director/nodes.go
+++ b/internal/director/nodes.go
@@ -107,7 +107,7 @@
 	// The try itself is counted already, once.
 	plan := *l.limit(limits.Event{What: limits.Dial, Nodes: l.linkSockets() - 1, Spare: spare != nil})
 	if plan.HangUp { // by which the limits may be asked again
-		l.hangUp(spare)
+		l.hangUp(spare, closedForRoom)
 	}
 	return plan.Admit
 }
@@ -150,7 +150,7 @@
 func (l *Loop) idled(n *node) {
 	next := n.used + l.pace.Keep
 	if next <= l.now && !n.needs {
-		l.hangUp(n)
+		l.hangUp(n, closedAsIdle)
 		return
 	}
 	if next <= l.now {
@@ -161,15 +161,16 @@
 }
 
 // hangUp ends the connection to a node.
-func (l *Loop) hangUp(n *node) {
+func (l *Loop) hangUp(n *node, reason closeReason) {
 	link := n.link
-	l.do(HangUp{link})
+	l.closeLink(n, link, reason)
 	l.linkLost(LinkLost{Link: link})
 }
 
 func (l *Loop) linkMade(e LinkMade) {
 	n := l.links[e.Link]
 	if n == nil || n.link != e.Link && n.check != e.Link {
+		l.event(Event{Kind: ServerDisconnected, Server: e.Node, Link: e.Link, Reason: string(closedAsUnknown)})
 		l.do(HangUp{e.Link})
 		return
 	}
@@ -177,11 +178,12 @@
 		l.replaceLink(n)
 	}
 	if !n.listed && l.manners.Loose { // whoever answers there now is somebody else
-		l.do(HangUp{e.Link})
+		l.closeLink(n, e.Link, closedAsUnlisted)
 		l.linkFailed(LinkFailed{Node: e.Node, Link: e.Link})
 		l.dead(n)
 		return
 	}
+	l.event(Event{Kind: ServerConnected, Server: n.name, Link: e.Link})
 	n.trying, n.up, n.greeted, n.made, n.used, n.suspect = false, true, l.manners.Greetless, l.now, l.now, false
 	if l.pace.Ping > 0 {
 		n.ping = l.timers.Add(l.now+l.pace.Ping, due{timerPing, e.Link})
@@ -194,7 +196,7 @@
 	}
 	l.reached(reach.Event{Node: n.place, What: reach.Made})
 	if n.dialled != n.address { // the list has moved it meanwhile
-		l.hangUp(n)
+		l.hangUp(n, closedAsMoved)
 		return
 	}
 	for _, g := range sorted(n.legs) {
@@ -233,7 +235,7 @@
 	if n.check == e.Link { // the connection that was doubted leads nowhere either
 		n.check = 0
 		l.log("node %s can't be connected to again: its connection is given up, %d legs on it", n.name, len(n.legs))
-		l.do(HangUp{n.link})
+		l.closeLink(n, n.link, closedAsUnproven)
 		delete(l.links, n.link)
 		l.cutLegs(n, n.link, nil)
 		n.up, n.greeted = false, false
@@ -259,6 +261,9 @@
 		return
 	}
 	delete(l.links, e.Link)
+	if e.Reason != "" { // else it is closed here, which was told of
+		l.event(Event{Kind: ServerDisconnected, Server: n.name, Link: e.Link, Reason: e.Reason})
+	}
 	if n.link != e.Link {
 		if n.old == e.Link {
 			n.old = 0
@@ -334,7 +339,7 @@
 	} else if n != nil && n.up && l.reached(reach.Event{Node: n.place, What: reach.Heard, Ago: e.Quiet}).GiveUp {
 		l.log("node %s has been quiet for %v: its connection is given up, %d legs with it", n.name,
 			e.Quiet.Round(time.Millisecond), len(n.legs))
-		l.do(HangUp{e.Link})
+		l.closeLink(n, e.Link, closedAsQuiet)
 		l.linkLost(LinkLost{Link: e.Link})
 	}
 }
@@ -573,7 +578,7 @@
 			n.address = e.Address
 		}
 		if n.up && (moved || n.reached != 0 && n.reached != e.Start) {
-			l.hangUp(n) // it leads to what no longer runs
+			l.hangUp(n, closedAsMoved) // it leads to what no longer runs
 		}
 		n.listed = true
 		if !n.up {
@@ -625,10 +630,10 @@
 	delete(l.nodes, n.name)
 	l.free = append(l.free, n.place)
 	if n.old != 0 {
-		l.do(HangUp{n.old})
+		l.closeLink(n, n.old, closedAsUnlisted)
 		delete(l.links, n.old)
 	}
 	if n.up {
-		l.hangUp(n)
+		l.hangUp(n, closedAsUnlisted)
 	}
 }
--- a/internal/director/proof.go
+++ b/internal/director/proof.go
@@ -20,6 +20,11 @@
 	fateBroken                // it played, and its node or the connection to it was lost
 )
 
+var fateNames = [...]string{"turned away", "not connected", "one try to connect failed", "withdrawn unsent", "connection ended unsent",
+	"server started anew, unsent", "server failed", "no answer in time", "server connection ended", "called off", "served", "server lost"}
+
+func (f fate) String() string { return fateNames[f] }
+
 // What proves that a leg never ran, for logs and metrics.
 var proofWords = [...]string{"", "full", "unconnected", "withdrawn", "unsent"}
 
--- a/internal/director/town_test.go
+++ b/internal/director/town_test.go
@@ -277,7 +277,7 @@
 func (p *post) leave(conn uint64) {
 	p.conns = slices.DeleteFunc(p.conns, func(x uint64) bool { return x == conn })
 	p.asked = slices.DeleteFunc(p.asked, func(v viewer) bool { return v.conn == conn })
-	p.do(PlayerClosed{conn})
+	p.do(PlayerClosed{Conn: conn})
 }
 
 // hungUp is a connection's end as its node sees it.
--- a/internal/herald/herald.go
+++ b/internal/herald/herald.go
@@ -15,14 +15,18 @@
 	"golang.org/x/time/rate"
 )
 
-// What is written at most: so many lines at once, and so many a second from then on. Lines that wait for a reader are
-// kept up to a number, the first ones; the later ones are left out.
-const (
-	burst   = 200
-	steady  = 10
-	waiting = 1024
+// Pace is what is written at most: so many lines at once, and so many a second from then on.
+type Pace struct{ Burst, Steady int }
+
+// The paces of a log that tells of changes of mode, and of one that tells of each request.
+var (
+	Usual   = Pace{Burst: 200, Steady: 10}
+	Verbose = Pace{Burst: 20_000, Steady: 5000}
 )
 
+// waiting is how many lines that wait for a reader are kept, the first ones; the later ones are left out.
+const waiting = 1024
+
 // Herald is a writer of lines. Its methods may be called by any goroutine.
 type Herald struct {
 	out  io.Writer
@@ -37,9 +41,9 @@
 	closed bool
 }
 
-// New starts writing to out, which may be slow, or stand still for ever.
-func New(out io.Writer) *Herald {
-	h := &Herald{out: out, done: make(chan struct{}), pace: rate.NewLimiter(steady, burst), wake: make(chan struct{}, 1)}
+// New starts writing to out, which may be slow, or stand still for ever, at a pace.
+func New(out io.Writer, pace Pace) *Herald {
+	h := &Herald{out: out, done: make(chan struct{}), pace: rate.NewLimiter(rate.Limit(pace.Steady), pace.Burst), wake: make(chan struct{}, 1)}
 	go h.run()
 	return h
 }
