--- a/internal/director/account.go
+++ b/internal/director/account.go
@@ -166,6 +166,7 @@
 	} else {
 		l.seats = append(l.seats, e.Conn)
 	}
+	l.event(Event{Kind: ClientConnected, Conn: e.Conn})
 	l.conns[e.Conn] = &conn{number: e.Conn, seat: seat}
 	l.do(Welcome{e.Conn})
 }
@@ -227,6 +228,7 @@
 		return
 	}
 	if c.leaving { // this crosses the word to go, which says when to come back
+		l.event(Event{Kind: RequestRefused, Request: e.Message.ID, Conn: c.number, Reason: "its connection is being closed"})
 		l.counts.Stray++
 		return
 	}
@@ -274,8 +276,7 @@
 		*count++
 		answer := wire.Session{Type: kind, ID: m.ID, Why: why, Backoff: backoff.Milliseconds()}
 		r.answer = &answer
-		l.event(Event{Kind: RequestRefused, Request: m.ID, Conn: c.number, Reason: why})
-		l.do(TellPlayer{Conn: c.number, Message: answer})
+		l.refuseRequest(c, answer)
 		l.remember(c, m.ID)
 	}
 	tariff, known := l.tariff[m.Tariff]
@@ -415,6 +416,7 @@
 		return
 	}
 	delete(l.conns, number)
+	l.event(Event{Kind: ClientDisconnected, Conn: number, Reason: e.Reason})
 	if c.turned {
 		l.turned = slices.DeleteFunc(l.turned, func(n uint64) bool { return n == number })
 		return
--- a/internal/director/events.go
+++ b/internal/director/events.go
@@ -12,13 +12,15 @@
 	AttemptStarted                    // a server was chosen
 	AttemptSent                       // the set-up was handed to the server's connection
 	AttemptEnded                      // it is out no longer
-	ClientClosed                      // a client's connection is closed by the director
+	ClientConnected
+	ClientClosed       // a client's connection is to be closed by the director
+	ClientDisconnected // it has ended, whoever ended it
 	ServerConnected
 	ServerDisconnected // a server's connection has ended, or is closed by the director
 )
 
 var eventNames = [...]string{"request taken", "request answered", "request refused", "request abandoned", "attempt started",
-	"attempt sent", "attempt ended", "client connection closed here", "server connected", "server disconnected"}
+	"attempt sent", "attempt ended", "client connected", "client connection closed here", "client disconnected", "server connected", "server disconnected"}
 
 func (k EventKind) String() string { return eventNames[k] }
 
--- a/internal/director/loose.go
+++ b/internal/director/loose.go
@@ -51,7 +51,7 @@
 			l.counts.Repeated++
 		case s != nil: // the other request must not notice
 			l.counts.Errored++
-			l.do(TellPlayer{Conn: c.number, Message: wire.Session{Type: wire.Errored, ID: m.ID, Why: "id is in use"}})
+			l.refuseRequest(c, wire.Session{Type: wire.Errored, ID: m.ID, Why: "id is in use"})
 		case e.Brought.Playing != "":
 			l.handed(c, e)
 		default:
@@ -76,12 +76,18 @@
 	case e.Message.Type != wire.Want || e.Brought.Playing != "":
 		l.looseSaid(c, e)
 	case s != nil:
-		l.do(TellPlayer{Conn: c.number, Message: wire.Session{Type: wire.Errored, ID: e.Message.ID, Why: "id is in use"}})
+		l.refuseRequest(c, wire.Session{Type: wire.Errored, ID: e.Message.ID, Why: "id is in use"})
 	default:
-		l.do(TellPlayer{Conn: c.number, Message: wire.Session{Type: wire.Nack, ID: e.Message.ID, Why: "no room"}})
+		l.refuseRequest(c, wire.Session{Type: wire.Nack, ID: e.Message.ID, Why: "no room"})
 	}
 }
 
+// refuseRequest answers a request that is not taken.
+func (l *Loop) refuseRequest(c *conn, answer wire.Session) {
+	l.event(Event{Kind: RequestRefused, Request: answer.ID, Conn: c.number, Reason: answer.Why})
+	l.do(TellPlayer{Conn: c.number, Message: answer})
+}
+
 // handed takes a session that plays already.
 func (l *Loop) handed(c *conn, e PlayerSaid) {
 	m, b := e.Message, e.Brought
