--- a/cmd/fordusher/platform.go
+++ b/cmd/fordusher/platform.go
@@ -16,7 +16,8 @@
 )
 
 type platformCommand struct {
-	Trace bool `help:"Write every message that crosses the sockets to standard error, a line each."`
+	Trace      bool `help:"Write every message that crosses the sockets to standard error, a line each."`
+	TraceKinds bool `env:"FORDUSHER_TRACE_KINDS" help:"Write only the kind and the session of messages that begin or end something."`
 }
 
 // The part of the memory limit that the collector keeps to: the rest is for what is not its own.
@@ -51,10 +52,14 @@
 	log := logger(lines).Level(level)
 	house := posting.House(time.Now())
 	var front daemon.Front = platform.NewFront(posting, house, time.Now)
-	if c.Trace {
+	if c.Trace || c.TraceKinds {
 		stop := make(chan struct{})
 		defer close(stop)
-		front = platform.Traced(front, os.Stderr, time.Now, stop)
+		traceLevel := platform.TraceKinds
+		if c.Trace {
+			traceLevel = platform.TraceBytes
+		}
+		front = platform.Traced(front, traceLevel, os.Stderr, time.Now, stop)
 	}
 	d, err := daemon.StartAt(front, house, strconv.FormatInt(time.Now().UnixMilli(), 36), seed, posting.Module(seed), log)
 	if err != nil {
--- a/internal/platform/trace.go
+++ b/internal/platform/trace.go
@@ -12,18 +12,28 @@
 	"fordusher/internal/wire"
 )
 
-// traced is a front that writes down every message that crosses it, one a line: the Unix time in seconds, whom it is
+// TraceLevel is how much is written of each message that crosses a front.
+type TraceLevel int
+
+// The levels: the kind and the session of each message that begins or ends something, or the bytes of every message.
+const (
+	TraceKinds TraceLevel = iota
+	TraceBytes
+)
+
+// traced is a front that writes down the messages that cross it, one a line: the Unix time in seconds, whom it is
 // from or to, and what it says. By it one compares what the director believes with what passes on the sockets.
 type traced struct {
 	daemon.Front
-	mu  sync.Mutex
-	out *bufio.Writer
-	now func() time.Time
+	level TraceLevel
+	mu    sync.Mutex
+	out   *bufio.Writer
+	now   func() time.Time
 }
 
 // Traced writes what crosses a front to out, in batches of a tenth of a second, until stop is closed.
-func Traced(f daemon.Front, out io.Writer, now func() time.Time, stop <-chan struct{}) daemon.Front {
-	t := &traced{Front: f, out: bufio.NewWriter(out), now: now}
+func Traced(f daemon.Front, level TraceLevel, out io.Writer, now func() time.Time, stop <-chan struct{}) daemon.Front {
+	t := &traced{Front: f, level: level, out: bufio.NewWriter(out), now: now}
 	go func() {
 		for ended := false; !ended; {
 			select {
@@ -47,30 +57,54 @@
 
 func (t *traced) FromPlayer(raw []byte) (in director.PlayerSaid, reply []byte, err error) {
 	in, reply, err = t.Front.FromPlayer(raw)
-	t.line("viewer> %s %.300q %v", in.Message.ID, raw, err)
+	switch {
+	case t.level == TraceBytes:
+		t.line("viewer> %s %.300q %v", in.Message.ID, raw, err)
+	case in.Message.Type != "":
+		t.line("viewer> %s %s", in.Message.ID, in.Message.Type)
+	}
 	return in, reply, err
 }
 
 func (t *traced) FromNode(raw []byte) (in director.LinkSaid, reply []byte, err error) {
 	in, reply, err = t.Front.FromNode(raw)
-	t.line("node> %s %.400q %v", in.Message.Session, raw, err)
+	switch {
+	case t.level == TraceBytes:
+		t.line("node> %s %.400q %v", in.Message.Session, raw, err)
+	case err != nil:
+		t.line("node> %.100q %v", raw, err)
+	case in.Message.Type != "" && in.Message.Type != wire.Note:
+		t.line("node> %s %s %s", in.Message.Session, in.Message.Type, in.Message.Why)
+	}
 	return in, reply, err
 }
 
 func (t *traced) FromList(raw []byte) (m wire.List, err error) {
 	m, err = t.Front.FromList(raw)
-	t.line("board> %d %+v %v", m.Serial, m.Nodes, err)
+	if t.level == TraceBytes {
+		t.line("board> %d %+v %v", m.Serial, m.Nodes, err)
+	} else if m.Type != "" {
+		t.line("board> %d %s %d", m.Serial, m.Type, len(m.Nodes))
+	}
 	return m, err
 }
 
 func (t *traced) ToPlayer(o director.TellPlayer) []byte {
 	raw := t.Front.ToPlayer(o)
-	t.line(">viewer %s on %d %s %s %.200q", o.Message.ID, o.Conn, o.Message.Type, o.Message.Why, raw)
+	if t.level == TraceBytes {
+		t.line(">viewer %s on %d %s %s %.200q", o.Message.ID, o.Conn, o.Message.Type, o.Message.Why, raw)
+	} else if raw != nil {
+		t.line(">viewer %s on %d %s %s", o.Message.ID, o.Conn, o.Message.Type, o.Message.Why)
+	}
 	return raw
 }
 
 func (t *traced) ToNode(o director.TellNode) []byte {
 	raw := t.Front.ToNode(o)
-	t.line(">node %s on %d %.300q", o.Message.Session, o.Link, raw)
+	if t.level == TraceBytes {
+		t.line(">node %s on %d %.300q", o.Message.Session, o.Link, raw)
+	} else if o.Message.Type != wire.Rung {
+		t.line(">node %s on %d %s", o.Message.Session, o.Link, o.Message.Type)
+	}
 	return raw
 }
