A client whose message is being worked on is not let go for want of room in that step

Cause: Loop.playerSaid told the limits that a client was heard, which may close a slice of the idle connections, this one among them, and took its request all the same; the daemon then closed the connection, and the request was given up with nobody answered. Change: the limits hold the client that a Heard event names for that step, and let the next one go.

--- a/limits/limits.go
+++ b/limits/limits.go
@@ -91,7 +91,7 @@
 const (
 	Knock    What = iota // somebody wants to connect; answered by Plan.Admit
 	Shook                // the handshake is done
-	Heard                // something came from the peer
+	Heard                // something came from the peer, which is still to be worked on: it is not let go for it
 	Busy                 // the player has a session, or an answer owed
 	Idle                 // it has none any more
 	Left                 // the connection has ended
@@ -186,6 +186,7 @@
 	turned    int           // newcomers turned away since the mode began
 	due       time.Duration // of the next slice; 0: none
 	plan      Plan
+	hold      int32 // is not let go in this step
 }
 
 const (
@@ -217,6 +218,10 @@
 	stalled := l.used > 0 && now-l.now > l.room.Ping && e.What == Ring
 	l.now = max(l.now, now)
 	l.plan = Plan{Ping: l.plan.Ping[:0], Let: l.plan.Let[:0]}
+	l.hold = none
+	if e.What == Heard {
+		l.hold = int32(e.Conn)
+	}
 	switch e.What {
 	case Knock:
 		l.nodes = e.Nodes
@@ -538,6 +543,14 @@
 	}
 }
 
+// longestIdle is who has been idle for longest and may be let go in this step; none where there is nobody.
+func (l *Limits) longestIdle() int32 {
+	if l.first != none && l.first == l.hold {
+		return l.conns[l.first].next
+	}
+	return l.first
+}
+
 // letGo lets a slice of the idle go, the longest idle first: in saving those over their patience, in full
 // as many as it takes to leave it. The next slice is twice as large while there are more.
 func (l *Limits) letGo() {
@@ -549,12 +562,16 @@
 		}
 	}
 	let := 0
-	for l.mode != Normal && let < l.slice && l.first != none {
-		c := &l.conns[l.first]
+	for l.mode != Normal && let < l.slice {
+		longest := l.longestIdle()
+		if longest == none {
+			break
+		}
+		c := &l.conns[longest]
 		if l.mode == Saving && l.now-c.since < l.room.Patience || l.mode == Full && l.share() <= fullTo {
 			break
 		}
-		l.let(l.first, 1013, "no room for the idle", l.retry())
+		l.let(longest, 1013, "no room for the idle", l.retry())
 		let++
 	}
 	if let == l.slice {
