One guard before sending, answering, closing and stopping; unreadable input frees no request

Cause: the transport closed a client's connection by itself for unreadable bytes, a message too long, half a message, a flood or a panic of its handler; every open request on it was given up and nobody answered. The loop closed, sent and answered in several places without asking what is owed. Change: input that can't be read ends the input only (transport.InputEnder); the loop closes the connection once it owes nothing on it. internal/director/guard.go is asked before an attempt is sent, an answer is given, a client's connection is closed and the director stops; what would break a rule is not done, counted by rule (fordusher_invariant_violations_total), logged once, and summed up at exit. The property test that breaks rule 3 on purpose now has to switch the guard off to do so. The test on malformed messages reads the log at the level the program writes it.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -57,6 +57,7 @@
 	refused  [3]atomic.Int64 // malformed messages of players, nodes, the list
 	complain [3]rate.Sometimes
 	flooded  atomic.Int64
+	deafened atomic.Int64
 	skew     atomic.Int64 // by Jump
 	late     lateness     // of the loop's goroutine
 }
@@ -487,7 +488,7 @@
 			if c := d.players[o.Conn]; c == nil {
 			} else if p, ok := c.Cookie().(*peer); ok && o.Idle && p.pending.Load() > 0 {
 				stay = append(stay, o.Conn)
-			} else if o.Code == 0 {
+			} else if o.Code == 0 && !c.Queued() {
 				c.Cut()
 			} else {
 				c.Close(ws.StatusCode(o.Code), o.Why)
@@ -609,7 +610,7 @@
 	}
 	p.pending.Add(-1)
 	d.flooded.Add(1)
-	c.Close(closePolicy, "too many messages at once")
+	c.EndInput(errFlood, closePolicy)
 	return false
 }
 
@@ -627,9 +628,12 @@
 		d.log.Warn().Str("peer", c.Peer().String()).Str("from", [...]string{"player", "node", "list"}[who]).Int64("so_far", n).
 			Str("error", clip(err.Error())).Msg("a malformed message")
 	})
-	c.Close(closeData, err.Error())
+	c.EndInput(err, closeData)
 }
 
+// errFlood ends the input of a peer of which too much waits for the loop.
+var errFlood = errors.New("too many messages at once")
+
 // clip bounds what a peer can put into a line; the writer escapes it.
 func clip(text string) string {
 	const most = 200
@@ -679,6 +683,18 @@
 	}
 }
 
+// InputEnded says that nothing more is read from a player's connection. The loop closes it once it owes nothing on it.
+func (h players) InputEnded(c *transport.Conn, why error) {
+	p, ok := c.Cookie().(*peer)
+	if !ok { // it has not knocked
+		c.Close(closeData, why.Error())
+		return
+	}
+	h.d.deafened.Add(1)
+	p.pending.Add(1)
+	h.d.inbox.stand(item{in: director.ClientInputEnded{Conn: p.number, Reason: clip(why.Error())}, peer: p})
+}
+
 func (h players) Closed(c *transport.Conn, why error, _ []uint64) {
 	if p, ok := c.Cookie().(*peer); ok {
 		p.left.Store(true)
@@ -784,10 +800,15 @@
 		{"room_mode", "0 normal, 1 saving, 2 full", prometheus.GaugeValue, float64(s.mode)},
 		{"player_connections_busy", "players with a session or an answer owed", prometheus.GaugeValue, float64(s.busy)},
 		{"player_connections", "connections of players", prometheus.GaugeValue, float64(s.players)},
+		{"client_input_ended_total", "clients from whom nothing more could be read", prometheus.CounterValue, float64(d.deafened.Load())},
 		{"loop_late_seconds", "greatest lateness of the loop in the last 15 to 30 s", prometheus.GaugeValue, s.late.Seconds()},
 	} {
 		ch <- prometheus.MustNewConstMetric(prometheus.NewDesc("fordusher_"+x.name, x.help, nil, nil), x.kind, x.value)
 	}
+	refused := prometheus.NewDesc("fordusher_invariant_violations_total", "what the guard has refused, by rule; should be 0", []string{"rule"}, nil)
+	for rule, n := range c.Violations() {
+		ch <- prometheus.MustNewConstMetric(refused, prometheus.CounterValue, float64(n), rule)
+	}
 	never := prometheus.NewDesc("fordusher_legs_never_ran_total", "legs that provably never ran, by proof", []string{"proof"}, nil)
 	for word, n := range c.Proofs() {
 		ch <- prometheus.MustNewConstMetric(never, prometheus.CounterValue, float64(n), word)
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -202,7 +202,7 @@
 func TestMalformedMessagesAreToldOfAgain(t *testing.T) {
 	lines := make(chan string, 1000)
 	p := open(t, 1)
-	p.d.log = zerolog.New(writer(func(b []byte) { lines <- string(b) }))
+	p.d.log = zerolog.New(writer(func(b []byte) { lines <- string(b) })).Level(zerolog.InfoLevel) // as the program writes it
 	long := `{"t":"` + strings.Repeat("\u00e9\xff", 500) + `"}`
 	for range 50 {
 		c, in := dial(t, p.d.Address())
--- a/internal/director/account.go
+++ b/internal/director/account.go
@@ -22,6 +22,7 @@
 	seat     int32               // its small index, for the limits
 	turned   bool                // loose: there was no room for it; what it asks is refused for a moment, and it is leaving
 	leaving  bool                // it was told to go: what it asks from now on is not taken
+	inputEnd string              // why nothing more can be read from it; empty: it can
 }
 
 // remembered is how many ended requests of a connection can still be answered as before.
@@ -67,6 +68,7 @@
 	answer   alarm.Handle
 	linger   alarm.Handle
 
+	ran         bool   // an attempt of it may have run
 	description []byte // for the node; until the session has its answer
 	via         uint64 // loose: the connection that it came on
 	stands      bool   // loose: that one counts it among what plays
@@ -171,12 +173,6 @@
 	l.do(Welcome{e.Conn})
 }
 
-// closeClient asks for a client's connection to be closed.
-func (l *Loop) closeClient(o ClosePlayer) {
-	l.event(Event{Kind: ClientClosed, Conn: o.Conn, Reason: o.Why})
-	l.do(o)
-}
-
 // limit tells the limits what happened and carries out their plan.
 func (l *Loop) limit(e limits.Event) *limits.Plan {
 	plan := l.limits.Step(l.now, e)
@@ -192,10 +188,10 @@
 		if x.Retry > 0 {
 			why = fmt.Sprintf("retry-ms=%d %s", x.Retry.Milliseconds(), why)
 		}
-		if c := l.conns[l.seats[x.Conn]]; c != nil {
+		closed := l.closeClient(ClosePlayer{Conn: l.seats[x.Conn], Code: x.Code, Why: why, Idle: x.Code != 1008})
+		if c := l.conns[l.seats[x.Conn]]; c != nil && closed {
 			c.leaving = true
 		}
-		l.closeClient(ClosePlayer{Conn: l.seats[x.Conn], Code: x.Code, Why: why, Idle: x.Code != 1008})
 	}
 	if plan.Log != "" {
 		l.log("%s", plan.Log)
@@ -213,6 +209,9 @@
 	case before > 0 && after == 0:
 		l.limit(limits.Event{What: limits.Idle, Conn: int(c.seat)})
 	}
+	if live < 0 {
+		l.closeSettled(c)
+	}
 }
 
 func (l *Loop) playerSaid(e PlayerSaid) {
@@ -461,6 +460,9 @@
 
 // settleAnswer marks a session's answer as given, or as no longer owed where there is none.
 func (l *Loop) settleAnswer(s *session, answer *wire.Session, description ...byte) {
+	if answer != nil && !l.mayAnswer(s, answer.Type) {
+		return
+	}
 	s.answered, s.description = true, nil
 	l.owed--
 	l.timers.Cancel(s.answer)
@@ -588,6 +590,10 @@
 
 // send hands a leg's set-up to its node's connection.
 func (l *Loop) send(g *leg) {
+	if !l.maySend(g) {
+		l.legEnds(g, fateUnmade, nil)
+		return
+	}
 	s := g.session
 	l.moveLeg(g, legSent)
 	g.link, g.node.used = g.node.link, l.now
@@ -690,6 +696,8 @@
 	outcome, proof := neverRan(f)
 	if proof > 0 {
 		l.counts.NeverRan[proof]++
+	} else {
+		s.ran = true
 	}
 	l.moveLeg(g, legOver)
 	l.timers.Cancel(g.late)
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -62,6 +62,12 @@
 		Conn   uint64
 		Reason string
 	}
+	// ClientInputEnded says that nothing more can be read from a player's connection, and why: what came before it
+	// can still be answered.
+	ClientInputEnded struct {
+		Conn   uint64
+		Reason string
+	}
 	// LinkMade says that a Connect succeeded.
 	LinkMade struct {
 		Node string
@@ -112,24 +118,25 @@
 	Stop struct{}
 )
 
-func (PlayerKnocked) input() {}
-func (PlayerOpened) input()  {}
-func (Memory) input()        {}
-func (PlayerSaid) input()    {}
-func (PlayerClosed) input()  {}
-func (PlayerStays) input()   {}
-func (LinkMade) input()      {}
-func (LinkFailed) input()    {}
-func (LinkSaid) input()      {}
-func (LinkAlive) input()     {}
-func (PlayerAlive) input()   {}
-func (LinkLost) input()      {}
-func (Withdrawn) input()     {}
-func (ListOpened) input()    {}
-func (ListSaid) input()      {}
-func (ListLost) input()      {}
-func (Tick) input()          {}
-func (Stop) input()          {}
+func (PlayerKnocked) input()    {}
+func (PlayerOpened) input()     {}
+func (Memory) input()           {}
+func (PlayerSaid) input()       {}
+func (PlayerClosed) input()     {}
+func (PlayerStays) input()      {}
+func (ClientInputEnded) input() {}
+func (LinkMade) input()         {}
+func (LinkFailed) input()       {}
+func (LinkSaid) input()         {}
+func (LinkAlive) input()        {}
+func (PlayerAlive) input()      {}
+func (LinkLost) input()         {}
+func (Withdrawn) input()        {}
+func (ListOpened) input()       {}
+func (ListSaid) input()         {}
+func (ListLost) input()         {}
+func (Tick) input()             {}
+func (Stop) input()             {}
 
 // Brought is what a request brings along where no catalogue says it.
 type Brought struct {
@@ -285,6 +292,7 @@
 	counts        Counts
 	oddMove       bool
 	observer      func(Event)
+	unguarded     bool // for tests that break a rule on purpose: attempts are sent whatever the guard says
 }
 
 // New starts a director. Boot is a word that no other run of this director has used.
@@ -314,10 +322,11 @@
 	Legs, Further                          uint64 // set-ups sent, and those beyond a session's first
 	NeverRan                               [len(proofWords)]uint64
 	Overdue, OddMove, Stray, Late, BadWord uint64
-	Broken                                 uint64 // sessions that played and lost their node
-	TurnedAway, LetGo                      uint64 // players not let in, and idle ones let go
-	Pressed                                uint64 // requests that had waited too long for a loop that is behind
-	Stalls                                 uint64 // times that the loop was late by more than 100 ms
+	Broken                                 uint64        // sessions that played and lost their node
+	TurnedAway, LetGo                      uint64        // players not let in, and idle ones let go
+	Pressed                                uint64        // requests that had waited too long for a loop that is behind
+	Stalls                                 uint64        // times that the loop was late by more than 100 ms
+	Refused                                [rules]uint64 // what the guard has refused, by rule
 }
 
 // Room tells how many players' connections there are, how many of them are busy, and the limits' mode.
@@ -367,6 +376,8 @@
 		l.playerSaid(e)
 	case PlayerClosed:
 		l.playerClosed(e)
+	case ClientInputEnded:
+		l.inputEnded(e)
 	case PlayerStays:
 		if c := l.conns[e.Conn]; c != nil && c.leaving && !c.turned {
 			c.leaving = false
@@ -546,11 +557,21 @@
 	}
 }
 
+// logInvariants says at the end what the guard has refused.
+func (l *Loop) logInvariants() {
+	total := uint64(0)
+	for _, n := range l.counts.Refused {
+		total += n
+	}
+	l.log("invariants: %d violations refused by the guard, %d requests taken", total, l.counts.Taken)
+}
+
 // close works on a stop under way.
 func (l *Loop) close() {
 	plan := l.stop.Step(l.now, closing.Left{Owed: l.owed, Playing: l.playing})
-	if plan.Done {
+	if plan.Done && l.mayStop() {
 		l.ended = true
+		l.logInvariants()
 		for conn := range sorted(l.conns) {
 			l.closeClient(ClosePlayer{Conn: conn, Code: 1001, Why: "director closes"})
 		}
--- /dev/null
+++ b/internal/director/guard.go
@@ -0,0 +1,134 @@
+package director
+
+import (
+	"fmt"
+)
+
+// The guard is the one place that is asked before an attempt is sent, an answer is given, a client's connection is
+// closed or the director stops. What would break a rule is not done, counted, and logged once for each rule: a count
+// that is not zero is a fault of the program.
+
+// A Rule is an invariant that the guard checks.
+type Rule int
+
+// The rules.
+const (
+	RuleAnswerBeforeClose Rule = iota // a client's connection is not closed here while an answer is owed on it
+	RuleAnswerOnce                    // a request gets one final answer
+	RuleNoSendAfterEnd                // nothing is sent for a request that has ended
+	RuleOneAttempt                    // a request has one attempt out at most
+	RulePaidOnce                      // a paid request that may have run is not sent again
+	RuleNoSendToDraining              // nothing new is sent to a server that drains or is gone
+	RuleAnswerBeforeStop              // the director does not stop while answers are owed
+	rules
+)
+
+var ruleNames = [rules]string{"answer_before_close", "answer_once", "no_send_after_end", "one_attempt", "paid_once",
+	"no_send_to_draining", "answer_before_stop"}
+
+func (r Rule) String() string { return ruleNames[r] }
+
+// Violations counts what the guard has refused, by rule; all are zero in a program without faults.
+func (c Counts) Violations() map[string]uint64 {
+	by := map[string]uint64{}
+	for rule, n := range c.Refused {
+		by[Rule(rule).String()] = n
+	}
+	return by
+}
+
+// violated counts a breach that the guard has prevented.
+func (l *Loop) violated(rule Rule, format string, figures ...any) {
+	l.counts.Refused[rule]++
+	if l.counts.Refused[rule] == 1 {
+		l.log("invariant %v would have been violated; further ones are only counted: %s", rule, fmt.Sprintf(format, figures...))
+	}
+}
+
+// mayClose tells whether a client's connection may be closed here.
+func (l *Loop) mayClose(conn uint64, why string) bool {
+	c := l.conns[conn]
+	if c == nil || l.manners.Linger > 0 && l.stop == nil { // there a request outlives its connection
+		return true
+	}
+	for id := range sorted(c.requests) {
+		if s := c.requests[id].session; s != nil && !s.answered {
+			l.violated(RuleAnswerBeforeClose, "connection %d, request %s, closed for %q", conn, id, why)
+			return false
+		}
+	}
+	return true
+}
+
+// mayAnswer tells whether a session may be given a final answer.
+func (l *Loop) mayAnswer(s *session, kind string) bool {
+	if s.answered {
+		l.violated(RuleAnswerOnce, "request %s, answer %s", s.request, kind)
+		return false
+	}
+	return true
+}
+
+// maySend tells whether an attempt may be sent to its server now.
+func (l *Loop) maySend(g *leg) bool {
+	if l.unguarded {
+		return true
+	}
+	s := g.session
+	rule := rules
+	switch {
+	case s.answered || s.phase == over:
+		rule = RuleNoSendAfterEnd
+	case s.leg != g:
+		rule = RuleOneAttempt
+	case s.ran && l.tariffs[s.tariff].Paid:
+		rule = RulePaidOnce
+	case !g.node.open:
+		rule = RuleNoSendToDraining
+	default:
+		return true
+	}
+	l.violated(rule, "request %s, attempt %d, server %s", s.request, g.id, g.node.name)
+	return false
+}
+
+// mayStop tells whether the director may end.
+func (l *Loop) mayStop() bool {
+	if l.owed > 0 {
+		l.violated(RuleAnswerBeforeStop, "%d answers are owed", l.owed)
+		return false
+	}
+	return true
+}
+
+// closeClient closes a client's connection, unless an answer is owed on it; it tells whether it did.
+func (l *Loop) closeClient(o ClosePlayer) bool {
+	if !l.mayClose(o.Conn, o.Why) {
+		return false
+	}
+	l.event(Event{Kind: ClientClosed, Conn: o.Conn, Reason: o.Why})
+	l.do(o)
+	return true
+}
+
+// inputEnded notes that nothing more can be read from a client's connection. It is closed once no answer is owed on it.
+func (l *Loop) inputEnded(e ClientInputEnded) {
+	c := l.conns[e.Conn]
+	if c == nil || c.turned || c.inputEnd != "" {
+		return
+	}
+	c.inputEnd = e.Reason
+	l.closeSettled(c)
+}
+
+// closeUnreadable is RFC 6455's code for what can't be read.
+const closeUnreadable = 1007
+
+// closeSettled closes a client's connection from which nothing more can be read and on which nothing is owed.
+func (l *Loop) closeSettled(c *conn) {
+	if c.inputEnd == "" || c.live > 0 || c.leaving {
+		return
+	}
+	c.leaving = true
+	l.closeClient(ClosePlayer{Conn: c.number, Code: closeUnreadable, Why: c.inputEnd})
+}
--- a/internal/director/properties_test.go
+++ b/internal/director/properties_test.go
@@ -41,6 +41,11 @@
 			bites++
 		}
 		w.goHome()
+		for _, p := range w.posts {
+			if p.loop.counts.Refused != [rules]uint64{} {
+				t.Fatalf("seed %d: the guard refused %v", seed, p.loop.counts.Violations())
+			}
+		}
 	}
 	if bites < runs/2 {
 		t.Fatalf("%s was within reach %d times in %d runs", c.rule, bites, runs)
@@ -100,9 +105,29 @@
 func TestRule3NothingToADrainingNode(t *testing.T) {
 	holds(t, usual(witness.RuleDrain), func(c *charter) {
 		c.lie = roster(func(e *policy.Entry) { e.State = policy.Up })
+		c.unguarded = true
 	})
 }
 
+// With the guard, a module that is wrong about what drains breaks nothing, and is counted.
+func TestTheGuardKeepsWhatAModuleWouldBreak(t *testing.T) {
+	refused := uint64(0)
+	for seed := range uint64(20) {
+		c := usual(witness.RuleDrain)
+		c.lie = roster(func(e *policy.Entry) { e.State = policy.Up })
+		w := newTown(t, seed, c)
+		if v := w.play(); !v.Kept() {
+			t.Fatalf("seed %d: %s", seed, breaches(v))
+		}
+		for _, p := range w.posts {
+			refused += p.loop.counts.Refused[RuleNoSendToDraining]
+		}
+	}
+	if refused == 0 {
+		t.Fatal("nothing was refused: the test can't fail")
+	}
+}
+
 // roster is a lie about the list.
 func roster(change func(*policy.Entry)) func(policy.Event) policy.Event {
 	return func(e policy.Event) policy.Event {
--- a/internal/director/town_test.go
+++ b/internal/director/town_test.go
@@ -45,6 +45,7 @@
 	lie       func(policy.Event) policy.Event
 	drop      func(Output) bool
 	module    func(*given)
+	unguarded bool
 }
 
 // given is what a module is told at its start.
@@ -164,6 +165,7 @@
 		reach.Pace{First: 100 * ms, Most: time.Second, AtOnce: 8, Ping: time.Second}, closing.Term{Within: 2 * time.Second, Slice: 100 * ms},
 		limits.Room{Connections: 1000, Handshakes: 100, Ping: 10 * time.Second, Patience: time.Minute, Handshake: time.Second, Retry: 10 * time.Second},
 		limits.Queue{Wait: 200 * ms, Retry: 10 * time.Second})
+	p.loop.unguarded = c.unguarded
 	p.note(witness.Record{What: witness.Returned, Director: p.name()})
 	p.do(ListOpened{})
 }
--- a/internal/platform/program_test.go
+++ b/internal/platform/program_test.go
@@ -162,6 +162,10 @@
 	ends *atomic.Int32
 }
 
+func (h watchedHandler) InputEnded(c *transport.Conn, why error) {
+	h.Handler.(transport.InputEnder).InputEnded(c, why)
+}
+
 func (h watchedHandler) Closed(c *transport.Conn, why error, unsent []uint64) {
 	h.Handler.Closed(c, why, unsent)
 	h.ends.Add(1)
--- a/internal/transport/plain.go
+++ b/internal/transport/plain.go
@@ -72,7 +72,7 @@
 		c.mu.Lock()
 		ended := c.why != nil
 		c.mu.Unlock()
-		if ended {
+		if ended || c.deaf.Load() {
 			return nil
 		}
 		size, err := c.split(in)
@@ -80,7 +80,7 @@
 			err = fmt.Errorf("%w: over %d bytes", ErrTooLarge, c.bounds.Message)
 		}
 		if err != nil {
-			c.end(fmt.Errorf("%w: %w", ErrProtocol, err), ws.StatusProtocolError, err.Error())
+			c.EndInput(fmt.Errorf("%w: %w", ErrProtocol, err), ws.StatusProtocolError)
 			return nil
 		}
 		if size == 0 {
@@ -112,7 +112,7 @@
 	c.moved = false
 	if len(c.partial) > 0 && c.begun == nil && c.bounds.Handshake > 0 {
 		c.begun = time.AfterFunc(c.bounds.Handshake, func() {
-			c.end(fmt.Errorf("%w: half a message for %v", ErrSlow, c.bounds.Handshake), ws.StatusPolicyViolation, "half a message")
+			c.EndInput(fmt.Errorf("%w: half a message for %v", ErrSlow, c.bounds.Handshake), ws.StatusPolicyViolation)
 		})
 	}
 }
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -91,6 +91,32 @@
 	Knock(c *Conn)
 }
 
+// An InputEnder is a Handler that closes connections itself whose peers have sent what can't be read: nothing more is read
+// from such a peer, and what is sent to it still goes out. It is asked only where messages frame themselves.
+type InputEnder interface {
+	InputEnded(c *Conn, why error)
+}
+
+// EndInput reads nothing more from a peer that has broken the protocol or a bound. The connection is closed, with a code,
+// by who has an InputEnder once nothing is owed on it, else at once.
+func (c *Conn) EndInput(why error, code ws.StatusCode) {
+	ender, ok := c.handler.(InputEnder)
+	if !ok || c.split == nil || c.server == nil || !c.whole.Load() {
+		c.end(why, code, why.Error())
+		return
+	}
+	if !c.deaf.Swap(true) {
+		ender.InputEnded(c, why)
+	}
+}
+
+// Queued tells whether anything that was sent still waits to be written.
+func (c *Conn) Queued() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writing
+}
+
 // A carrier is what is below a connection: netpoll's, or one in memory.
 type carrier interface {
 	Close() error
@@ -140,6 +166,7 @@
 	ping     []byte      // of the last ping that is not answered yet
 	moved    bool        // a message that frames itself has come whole since the last look
 	begun    *time.Timer // runs while a message that frames itself has come in part
+	deaf     atomic.Bool // nothing more is read: what comes is dropped
 
 	once    sync.Once
 	mu      sync.Mutex
@@ -450,7 +477,7 @@
 		return nil
 	}
 	if n > burstMost+c.bounds.Message {
-		c.end(fmt.Errorf("%w: %d bytes at once", ErrTooLarge, n), ws.StatusPolicyViolation, "too much at once")
+		c.EndInput(fmt.Errorf("%w: %d bytes at once", ErrTooLarge, n), ws.StatusPolicyViolation)
 	}
 	in, err := r.Next(n)
 	if err != nil {
@@ -465,7 +492,7 @@
 func (c *Conn) recover() {
 	if r := recover(); r != nil {
 		complaints.Add(1)
-		c.fail(fmt.Errorf("%w: panic: %v", ErrClosed, r))
+		c.EndInput(fmt.Errorf("%w: panic: %v", ErrClosed, r), ws.StatusInternalServerError)
 	}
 }
 
