--- a/cmd/fordusher/platform_test.go
+++ b/cmd/fordusher/platform_test.go
@@ -37,12 +37,14 @@
 
 // A mediaNode answers set-ups with 200, or holds them while it is held.
 type mediaNode struct {
-	ln    net.Listener
-	mu    sync.Mutex
-	held  bool
-	waits []func()
-	seen  []string // sessions set up, in order
-	conns []net.Conn
+	ln   net.Listener
+	mu   sync.Mutex
+	held bool
+	// answers is what goes out for a set-up, in one write; nil: an answer that the session stands
+	answers func(session string) string
+	waits   []func()
+	seen    []string // sessions set up, in order
+	conns   []net.Conn
 }
 
 func newMediaNode(t *testing.T) *mediaNode {
@@ -67,6 +69,15 @@
 	return n
 }
 
+// standing is a server's answer that a session stands; released its word that the session has ended.
+func standing(session string) string {
+	return fmt.Sprintf("RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: %s\r\nContent-Length: 5\r\n\r\nhere\n", session)
+}
+
+func released(session string, cause int) string {
+	return fmt.Sprintf("TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: %s\r\nReason: cause=%d\r\nContent-Length: 0\r\n\r\n", session, cause)
+}
+
 func (n *mediaNode) closeAll() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -95,9 +106,12 @@
 		}
 		session := head.Get("Session")
 		answer := func() {
-			fmt.Fprintf(c, "RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: %s\r\nContent-Length: 5\r\n\r\nhere\n", session)
+			io.WriteString(c, standing(session))
 		}
 		n.mu.Lock()
+		if answers := n.answers; answers != nil {
+			answer = func() { io.WriteString(c, answers(session)) }
+		}
 		n.seen = append(n.seen, session)
 		if n.held {
 			n.waits = append(n.waits, answer)
