Whoever says that a session is over, its client is told

Root cause of the incident: at a server's release with the cause "moved, or ended by its client" the loop took the server's word for the client's knowledge (linkSaid, legEnds with fateCalledOff): the session was dropped and nothing went to the client, whose answer could still be on the way to it. The class: an end is settled with one party on the word of another, and the party that is owed it hears nothing. Change: such a release is an outcome of its own (fateEndedElsewhere) and is passed on, with the server's cause, on the connection that the session came on. The same mistake in related code: a release of a standing session that comes on another client's connection told nobody; it does now.

--- a/internal/director/account.go
+++ b/internal/director/account.go
@@ -218,7 +218,7 @@
 	c := l.conns[e.Conn]
 	if c == nil { // it closed a moment ago, or was not let in
 		if s := l.keys[e.Message.ID]; l.manners.Loose && e.Message.Type == wire.Leave && s != nil && s.answered {
-			l.gone(s, "cancelled by the client") // what plays belongs to no connection, and its ending neither
+			l.endedElsewhere(s, e.Conn) // what plays belongs to no connection, and its ending neither
 		}
 		return
 	}
@@ -683,8 +683,12 @@
 	}
 }
 
-// WhyEnded is why a session is over that has come to its end by itself.
-const WhyEnded = "ended"
+// Why a session is over: it has come to its end by itself, or its node says that its viewer has ended it or that it was
+// moved.
+const (
+	WhyEnded          = "ended"
+	WhyEndedElsewhere = "ended elsewhere"
+)
 
 // legEnds ends a leg, tells the module what is true of it, and the player if its session ends by it.
 func (l *Loop) legEnds(g *leg, f fate, load *wire.Load) {
@@ -708,6 +712,8 @@
 		switch f {
 		case fateServed:
 			l.over(s, WhyEnded)
+		case fateEndedElsewhere:
+			l.over(s, WhyEndedElsewhere)
 		case fateBroken, fateReset:
 			l.counts.Broken++
 			l.over(s, "node lost")
--- a/internal/director/loose.go
+++ b/internal/director/loose.go
@@ -60,9 +60,12 @@
 			}
 		}
 	case wire.Leave:
-		if s != nil && (s.answered || s.conn == c) {
+		switch {
+		case s != nil && s.answered:
+			l.endedElsewhere(s, c.number)
+		case s != nil && s.conn == c:
 			l.gone(s, "cancelled by the client")
-		} else {
+		default:
 			l.counts.Stray++
 		}
 	default:
@@ -70,6 +73,15 @@
 	}
 }
 
+// endedElsewhere ends a session that stands at the word of a connection. Where that is not the one it came on, whoever
+// is there is told: that its client has said so is not known.
+func (l *Loop) endedElsewhere(s *session, said uint64) {
+	if s.phase == playing && said != s.via {
+		l.over(s, WhyEndedElsewhere)
+	}
+	l.gone(s, "ended by a client")
+}
+
 // refuse answers who was turned away. Endings, and what plays already, need no connection.
 func (l *Loop) refuse(c *conn, e PlayerSaid) {
 	switch s := l.keys[e.Message.ID]; {
--- a/internal/director/loose_test.go
+++ b/internal/director/loose_test.go
@@ -602,3 +602,44 @@
 	s.do(LinkMade{name(0), s.links[name(0)]})
 	s.oneLeg()
 }
+
+// Whoever says that a session is over, its client learns of it: on the connection that it came on, and once. Only who
+// ends it on that very connection is told nothing.
+func TestEveryEndReachesItsClient(t *testing.T) {
+	for name, end := range map[string]func(s *stage, g TellNode){
+		"its node, ended by itself": func(s *stage, g TellNode) { s.do(says(g.Link, "a", wire.Ended)) },
+		"its node, ended by its client": func(s *stage, g TellNode) {
+			m := says(g.Link, "a", wire.Ended)
+			m.Message.Why = wire.CalledOff
+			s.do(m)
+		},
+		"its node, cut": func(s *stage, g TellNode) {
+			m := says(g.Link, "a", wire.Ended)
+			m.Message.Why = wire.Lost
+			s.do(m)
+		},
+		"a client on another connection": func(s *stage, g TellNode) {
+			s.enter(2)
+			s.do(PlayerSaid{Conn: 2, Message: wire.Session{Type: wire.Leave, ID: "a"}})
+		},
+		"a client on a connection that has ended": func(s *stage, g TellNode) {
+			s.do(PlayerSaid{Conn: 7, Message: wire.Session{Type: wire.Leave, ID: "a"}})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newLoose(t, 1)
+			end(s, s.plays("a", "clip"))
+			if over := s.told(wire.Over); len(over) != 1 || over[0].ID != "a" {
+				t.Fatalf("told %+v", over)
+			}
+			s.empty()
+		})
+	}
+	s := newLoose(t, 1)
+	s.plays("a", "clip")
+	s.do(PlayerSaid{Conn: 1, Message: wire.Session{Type: wire.Leave, ID: "a"}})
+	if over := s.told(wire.Over); len(over) != 0 {
+		t.Fatalf("who has ended it was told %+v", over)
+	}
+	s.empty()
+}
--- a/internal/director/nodes.go
+++ b/internal/director/nodes.go
@@ -400,7 +400,7 @@
 		case m.Why == wire.Lost:
 			l.legEnds(g, fateBroken, m.Load)
 		case m.Why == wire.CalledOff:
-			l.legEnds(g, fateCalledOff, m.Load)
+			l.legEnds(g, fateEndedElsewhere, m.Load)
 		default:
 			l.legEnds(g, fateServed, m.Load)
 		}
--- a/internal/director/proof.go
+++ b/internal/director/proof.go
@@ -6,22 +6,23 @@
 type fate int
 
 const (
-	fateFull      fate = iota // the node turned it away unseen
-	fateUnmade                // its node could not be connected to
-	fateMissed                // one try to connect failed, which says little of the node
-	fateWithdrawn             // taken back before one byte was handed to the kernel
-	fateUnsent                // the connection ended before one byte was handed to the kernel
-	fateNew                   // its node turned out to have started anew, and nothing of it was handed over yet
-	fateFailed                // the node says that the set-up failed
-	fateTimedOut              // no answer in time
-	fateReset                 // the connection ended after the set-up was handed over
-	fateCalledOff             // the viewer left, or the director closes
-	fateServed                // it played, and ended by itself
-	fateBroken                // it played, and its node or the connection to it was lost
+	fateFull           fate = iota // the node turned it away unseen
+	fateUnmade                     // its node could not be connected to
+	fateMissed                     // one try to connect failed, which says little of the node
+	fateWithdrawn                  // taken back before one byte was handed to the kernel
+	fateUnsent                     // the connection ended before one byte was handed to the kernel
+	fateNew                        // its node turned out to have started anew, and nothing of it was handed over yet
+	fateFailed                     // the node says that the set-up failed
+	fateTimedOut                   // no answer in time
+	fateReset                      // the connection ended after the set-up was handed over
+	fateCalledOff                  // the viewer left, or the director closes
+	fateEndedElsewhere             // it played, and its node says that its viewer has ended it, or that it was moved
+	fateServed                     // it played, and ended by itself
+	fateBroken                     // it played, and its node or the connection to it was lost
 )
 
 var fateNames = [...]string{"turned away", "not connected", "one try to connect failed", "withdrawn unsent", "connection ended unsent",
-	"server started anew, unsent", "server failed", "no answer in time", "server connection ended", "called off", "served", "server lost"}
+	"server started anew, unsent", "server failed", "no answer in time", "server connection ended", "called off", "ended elsewhere", "served", "server lost"}
 
 func (f fate) String() string { return fateNames[f] }
 
@@ -60,7 +61,7 @@
 		return policy.Errored, 0
 	case fateTimedOut:
 		return policy.TimedOut, 0
-	case fateCalledOff:
+	case fateCalledOff, fateEndedElsewhere:
 		return policy.Cancelled, 0
 	case fateServed:
 		return policy.Served, 0
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -100,8 +100,11 @@
 	case wire.Errored:
 		return release(session, causeErrored)
 	case wire.Over:
-		if m.Why == director.WhyEnded {
+		switch m.Why {
+		case director.WhyEnded:
 			return release(session, causeEnded)
+		case director.WhyEndedElsewhere:
+			return release(session, causeMoved)
 		}
 		return release(session, causeLost)
 	}
