--- /dev/null
+++ b/internal/soak/messages.go
@@ -0,0 +1,142 @@
+package soak
+
+import (
+	"bufio"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// The kinds of clients' messages, their parameters and the causes of releases, by the protocol's page.
+const (
+	kindSetup   = 1
+	kindAnswer  = 9
+	kindRelease = 12
+	kindHeard   = 16
+
+	codeClass, codeWait, codeTitle, codePlace, codeHint, codeCause, codeDescription = 33, 36, 45, 48, 63, 75, 78
+
+	causeEnded, causeMoved, causeCut = 16, 31, 41
+)
+
+func clientMessage(kind byte, session uint64, parameters ...any) []byte {
+	raw := binary.BigEndian.AppendUint64([]byte{0, 0, kind}, session)
+	for i := 0; i < len(parameters); i += 2 {
+		value := parameters[i+1].(string)
+		raw = append(raw, byte(parameters[i].(int)), byte(len(value)>>8), byte(len(value)))
+		raw = append(raw, value...)
+	}
+	binary.BigEndian.PutUint16(raw, uint16(len(raw)-2))
+	return raw
+}
+
+func setup(session uint64, class string, wait time.Duration, cells int) []byte {
+	return clientMessage(kindSetup, session, codeClass, class, codeWait, strconv.FormatInt(wait.Milliseconds(), 10), codeTitle,
+		fmt.Sprintf("%016x", session%64), codeHint, "1000.0", codePlace,
+		fmt.Sprintf("home:%d;copies:%d;top:1;viewer:%016x", int(session)%cells, cells, session), codeDescription, "there\r\n")
+}
+
+func cancel(session uint64) []byte {
+	return clientMessage(kindRelease, session, codeCause, string([]byte{causeEnded}))
+}
+
+// readClient reads one message of a director to a client.
+func readClient(r io.Reader) (kind byte, session uint64, err error) {
+	head := make([]byte, 2)
+	if _, err := io.ReadFull(r, head); err != nil {
+		return 0, 0, err
+	}
+	raw := make([]byte, binary.BigEndian.Uint16(head))
+	if _, err := io.ReadFull(r, raw); err != nil {
+		return 0, 0, err
+	}
+	if len(raw) < 9 {
+		return 0, 0, fmt.Errorf("a message of %d bytes", len(raw))
+	}
+	return raw[0], binary.BigEndian.Uint64(raw[1:]), nil
+}
+
+// A serverRequest is what a director asks of a server.
+type serverRequest struct {
+	method  string
+	session uint64
+	within  time.Duration
+	cseq    string
+}
+
+func readServer(r *textproto.Reader) (q serverRequest, err error) {
+	first, err := r.ReadLine()
+	if err != nil {
+		return q, err
+	}
+	head, err := r.ReadMIMEHeader()
+	if err != nil {
+		return q, err
+	}
+	length, _ := strconv.Atoi(head.Get("Content-Length"))
+	if _, err := io.CopyN(io.Discard, r.R, int64(length)); err != nil {
+		return q, err
+	}
+	q.method, _, _ = strings.Cut(first, " ")
+	q.cseq = head.Get("CSeq")
+	q.session, _ = strconv.ParseUint(head.Get("Session"), 16, 64)
+	ms, _ := strconv.Atoi(head.Get("X-Setup-Ms"))
+	q.within = time.Duration(ms) * time.Millisecond
+	return q, nil
+}
+
+func rtspReader(r io.Reader) *textproto.Reader { return textproto.NewReader(bufio.NewReader(r)) }
+
+// serverAnswer words a server's answer to a set-up.
+func serverAnswer(session uint64, status int, body string) string {
+	return fmt.Sprintf("RTSP/1.0 %d X\r\nCSeq: 1\r\nSession: %016x\r\nContent-Length: %d\r\n\r\n%s", status, session, len(body), body)
+}
+
+// serverRelease words a server's release of a session.
+func serverRelease(session uint64, cause int) string {
+	return fmt.Sprintf("TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: %016x\r\nReason: cause=%d\r\nContent-Length: 0\r\n\r\n",
+		session, cause)
+}
+
+func heard(q serverRequest) string {
+	return fmt.Sprintf("RTSP/1.0 200 OK\r\nCSeq: %s\r\nSession: %016x\r\nContent-Length: 0\r\n\r\n", q.cseq, q.session)
+}
+
+// discoveryFrame is an event that servers are in a state; without any it says that nothing is new.
+func discoveryFrame(number uint64, records []serverRecord) []byte {
+	const recordSize, headSize = 27, 9
+	raw := binary.BigEndian.AppendUint32(nil, uint32(headSize+len(records)*recordSize))
+	raw = binary.BigEndian.AppendUint64(raw, number)
+	kind := byte(0)
+	if len(records) > 0 {
+		kind = 2
+	}
+	raw = append(raw, kind)
+	for _, x := range records {
+		raw = binary.BigEndian.AppendUint32(raw, x.id)
+		raw = append(raw, 127, 0, 0, 1)
+		raw = binary.BigEndian.AppendUint16(raw, uint16(x.port))
+		raw = append(raw, x.state, 0, 0)
+		raw = binary.BigEndian.AppendUint16(raw, uint16(x.cell))
+		raw = binary.BigEndian.AppendUint32(raw, 1000)
+		raw = binary.BigEndian.AppendUint64(raw, uint64(x.startedMilli))
+	}
+	return raw
+}
+
+// The states of a server in discovery.
+const (
+	stateReady, stateDraining, stateGone = 0, 1, 2
+)
+
+// A serverRecord is a server as discovery names it.
+type serverRecord struct {
+	id           uint32
+	port, cell   int
+	state        byte
+	startedMilli int64
+}
