--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -36,7 +37,7 @@
 			break
 		}
 		if kind != kindHeard {
-			k.ledger.told(id, kind)
+			k.ledger.told(id, kind, k.owns(id))
 		}
 	}
 	k.conn.Close()
@@ -56,6 +57,13 @@
 	return d.life == life && !d.asked
 }
 
+// owns tells whether a request was asked on this connection.
+func (k *clientConnection) owns(id uint64) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return slices.Contains(k.ids, id)
+}
+
 // ask writes a request and returns its id.
 func (k *clientConnection) ask(d *director, paid bool, wait time.Duration) uint64 {
 	id := d.ledger.ask(d, paid, wait)
--- a/internal/soak/director.go
+++ b/internal/soak/director.go
@@ -246,9 +246,7 @@
 func (s *server) told(d *director) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.drains[d].IsZero() {
-		s.drains[d] = time.Now()
-	}
+	s.drains[d] = time.Now() // one that is told again may not have reached it before
 }
 
 func (d *director) finish() {
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -1,7 +1,9 @@
 package soak
 
 import (
+	"encoding/binary"
 	"fmt"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -93,10 +95,10 @@
 	mu     sync.Mutex
 	silent bool
 	conn   net.Conn
-	missed []missedEvent // events while nobody was connected or while it was silent
+	events []event // since the director's start: it asks for those after the last it has
 }
 
-type missedEvent struct {
+type event struct {
 	number  uint64
 	records []serverRecord
 }
@@ -122,7 +124,7 @@
 		}
 		asked := make([]byte, 8)
 		c.SetReadDeadline(time.Now().Add(time.Second))
-		if _, err := c.Read(asked); err != nil {
+		if _, err := io.ReadFull(c, asked); err != nil {
 			c.Close()
 			continue
 		}
@@ -131,10 +133,12 @@
 			v.conn.Close()
 		}
 		v.conn, v.silent = c, false
-		for _, e := range v.missed {
-			v.write(e.number, e.records)
+		last := binary.BigEndian.Uint64(asked)
+		for _, e := range v.events {
+			if e.number > last {
+				v.write(e)
+			}
 		}
-		v.missed = nil
 		v.mu.Unlock()
 		go v.beat(c)
 	}
@@ -159,20 +163,19 @@
 func (v *discovery) event(number uint64, records []serverRecord) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.conn == nil || v.silent {
-		v.missed = append(v.missed, missedEvent{number, records})
-		return
+	e := event{number, records}
+	v.events = append(v.events, e)
+	if v.conn != nil && !v.silent {
+		v.write(e)
 	}
-	v.write(number, records)
 }
 
 // write is called with the lock held.
-func (v *discovery) write(number uint64, records []serverRecord) {
-	if _, err := v.conn.Write(discoveryFrame(number, records)); err != nil {
-		v.missed = append(v.missed, missedEvent{number, records})
-		return
+func (v *discovery) write(e event) {
+	if _, err := v.conn.Write(discoveryFrame(e.number, e.records)); err != nil {
+		return // the director asks for it again
 	}
-	for _, x := range records {
+	for _, x := range e.records {
 		if x.state != stateReady {
 			v.director.drains(x.id)
 		}
@@ -199,6 +202,6 @@
 // forget drops what a process that is started anew knows by its configuration.
 func (v *discovery) forget() {
 	v.mu.Lock()
-	v.missed = nil
+	v.events = nil
 	v.mu.Unlock()
 }
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -100,8 +100,9 @@
 	}
 }
 
-// told notes a message of a director to a client.
-func (l *ledger) told(id uint64, kind byte) {
+// told notes a message of a director to a client, and whether it came on the connection of its request: what comes on
+// another may overtake it.
+func (l *ledger) told(id uint64, kind byte, own bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.requests[id]
@@ -116,7 +117,7 @@
 		r.answers++
 		r.stood = true
 	case kindRelease:
-		if r.stood {
+		if r.stood || !own {
 			r.released = true
 			return
 		}
@@ -130,17 +131,20 @@
 // setup notes that a set-up has reached a server, and returns its attempt; nil where no client has asked for it.
 func (l *ledger) setup(id uint64, server string, drainingSince func(*director) time.Time, within time.Duration) *attempt {
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.attempts++
 	r, now := l.requests[id], time.Now()
+	l.mu.Unlock()
 	if r == nil {
 		return nil
 	}
+	since := drainingSince(r.director) // a server's lock is taken before the ledger's
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	slack := r.director.pausedSince(r.sent)
 	if !r.left.IsZero() && now.Sub(r.left) > leftSlack+slack {
 		l.violate(id, r, "an attempt at %s begins %v after its client has left", server, now.Sub(r.left))
 	}
-	if since := drainingSince(r.director); !since.IsZero() && now.Sub(since) > drainSlack+slack {
+	if !since.IsZero() && now.Sub(since) > drainSlack+slack {
 		l.violate(id, r, "an attempt begins at %s, which drains since %v", server, now.Sub(since))
 	}
 	if left := r.sent.Add(r.wait).Sub(now); within > max(0, left)+deadlineSlack+slack {
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -145,6 +145,7 @@
 		return false
 	}
 	x.stands = true
+	s.fleet.ledger.end(x.attempt, true) // its answer is about to be written
 	return true
 }
 
@@ -174,7 +175,6 @@
 	if !s.ends(id, x) {
 		return
 	}
-	s.fleet.ledger.end(x.attempt, true)
 	if _, err := io.WriteString(c, serverRelease(id, cause)); err == nil {
 		s.fleet.ledger.over(id)
 	}
@@ -186,7 +186,6 @@
 		return
 	}
 	cause := []int{causeEnded, causeMoved, causeCut}[s.fleet.draw(3)]
-	s.fleet.ledger.end(x.attempt, true)
 	if _, err := io.WriteString(c, serverAnswer(id, 200, description)+serverRelease(id, cause)); err == nil {
 		s.fleet.ledger.over(id)
 	}
@@ -213,7 +212,6 @@
 
 func (s *server) spoil(c net.Conn, id uint64, x *sessionAt) {
 	if s.takes(id, x) {
-		s.fleet.ledger.end(x.attempt, true)
 		io.WriteString(c, "\x16\x03\x01 no message")
 	}
 }
@@ -221,7 +219,6 @@
 // truncate gives a length that is too short, the rest in a write of its own.
 func (s *server) truncate(c net.Conn, id uint64, x *sessionAt) {
 	if s.takes(id, x) {
-		s.fleet.ledger.end(x.attempt, true)
 		whole := serverAnswer(id, 200, description)
 		io.WriteString(c, whole[:len(whole)-2])
 	}
