A dialled connection that ends before it is in use gives its descriptor back

Cause: netpoll leaves a connection that its peer ended before OnRequest is set to its user; transport.stand told the handler and never closed it.

--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -902,7 +902,8 @@
 	np.AddCloseCallback(c.closed)
 	c.feed(in)
 	np.SetOnRequest(c.read)
-	if !np.IsActive() { // it ended before the callback was there
+	if !np.IsActive() { // it ended before the callback was there: netpoll leaves such a connection to its user
+		np.Close()
 		c.closed(np)
 	} else {
 		c.writeAtOnce()
