--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -20,6 +20,9 @@
 
 // House is what a director is told at its start.
 type House struct {
+	// Unguarded is for tests that break a rule on purpose: no file sets it.
+	Unguarded bool
+
 	Name      string
 	Peers     policy.Peers
 	Listen    string        // address for players
@@ -63,7 +66,11 @@
 
 // Loop starts a director's loop around a module. Boot is a word that no other run has used.
 func (h *House) Loop(boot string, seed uint64, module director.Decider) *director.Loop {
-	return director.New(h.Name, boot, seed, module, h.Tariffs, h.Machines, h.Ladder, h.Manners, h.Pace, h.Term, h.Room, h.Queue)
+	loop := director.New(h.Name, boot, seed, module, h.Tariffs, h.Machines, h.Ladder, h.Manners, h.Pace, h.Term, h.Room, h.Queue)
+	if h.Unguarded {
+		loop.Unguard()
+	}
+	return loop
 }
 
 // Load reads a file; what is wrong with it comes back as Problems.
--- a/internal/day/day_test.go
+++ b/internal/day/day_test.go
@@ -134,7 +134,7 @@
 			"viewers": {"mean_length": "500ms"}, "list": {"notice_low": "50ms", "notice_high": "100ms"},
 			"troubles": [{"kind": "fast_errors", "at": "200ms", "for": "2s", "share": 0.5, "size": 0.5},
 				{"kind": "preempt", "at": "300ms", "for": "500ms", "share": 0.3, "size": 2}]}`
-		r := run(t, script, Options{Wrap: func(d director.Decider) director.Decider { return broken{d, change} }})
+		r := run(t, script, Options{Unguarded: true, Wrap: func(d director.Decider) director.Decider { return broken{d, change} }})
 		if r.Rules[rule].Broken == 0 {
 			t.Errorf("%s is broken on purpose and not seen: %+v", rule, r.Rules[rule])
 		}
--- a/internal/day/rig.go
+++ b/internal/day/rig.go
@@ -28,11 +28,13 @@
 	Log      zerolog.Logger
 	Progress func(line string)                                 // a line now and then; may be nil
 	Module   func(h *conf.House, seed uint64) director.Decider // nil: the module
-	Wrap     func(d director.Decider) director.Decider         // for tests that break it; may be nil
-	Launch   Launcher                                          // nil: everything in this process
-	Slack    time.Duration                                     // of the witness; 0: 100 ms
-	House    *conf.House                                       // a director's file with nodes and titles to play instead of the script's own; may be nil
-	Plan     []Told                                            // what the list says in the course of the day
+	// Unguarded is for tests: the loop sends what a module that is broken on purpose wants sent.
+	Unguarded bool
+	Wrap      func(d director.Decider) director.Decider // for tests that break it; may be nil
+	Launch    Launcher                                  // nil: everything in this process
+	Slack     time.Duration                             // of the witness; 0: 100 ms
+	House     *conf.House                               // a director's file with nodes and titles to play instead of the script's own; may be nil
+	Plan      []Told                                    // what the list says in the course of the day
 }
 
 // Told is a line of the list at a time of the day.
@@ -178,6 +180,7 @@
 	if g.opt.Launch != nil {
 		d, err = g.opt.Launch.Director(text, p.name, boot, seed)
 	} else {
+		house.Unguarded = g.opt.Unguarded
 		var module director.Decider = house.Module(seed)
 		if g.opt.Module != nil {
 			module = g.opt.Module(house, seed)
--- a/internal/director/guard.go
+++ b/internal/director/guard.go
@@ -92,6 +92,10 @@
 	return false
 }
 
+// Unguard has attempts sent whatever the guard says. It is for tests that break a rule on purpose, and is called before the
+// first Step.
+func (l *Loop) Unguard() { l.unguarded = true }
+
 // mayStop tells whether the director may end.
 func (l *Loop) mayStop() bool {
 	if l.owed > 0 {
