--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -124,10 +124,11 @@
 		case n < 80:
 			shared.ask(d, paid, wait)
 		case n < 88:
-			id := shared.ask(d, paid, wait)
+			k := shared
+			id := k.ask(d, paid, wait)
 			time.AfterFunc(r.span(100*time.Millisecond), func() {
 				d.ledger.leave(id)
-				shared.conn.Write(cancel(id))
+				k.conn.Write(cancel(id))
 			})
 		default:
 			r.stranger(d, n, paid, wait)
