--- a/cmd/fordusher/platform_test.go
+++ b/cmd/fordusher/platform_test.go
@@ -19,6 +19,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"fordusher/internal/loopback"
 )
 
 // The program as the platform runs it, a process between media nodes, a notice board and viewers that are written from
@@ -192,14 +194,15 @@
 		p.listen, p.board, p.sockets, strings.Join(targets, ","), p.deadline, p.deadline, len(p.nodes))
 }
 
-// freeAddress is one that nothing listens at.
+// freeAddress is one that nothing listens at; it is kept free for the test's own listeners until the test ends.
 func freeAddress(t *testing.T) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	t.Helper()
+	address, err := loopback.Reserve()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ln.Close()
-	return ln.Addr().String()
+	t.Cleanup(func() { address.Close() })
+	return address.String()
 }
 
 func startFront(t *testing.T, p posting) *front {
--- /dev/null
+++ b/internal/loopback/address_test.go
@@ -0,0 +1,61 @@
+package loopback
+
+import (
+	"errors"
+	"net"
+	"syscall"
+	"testing"
+)
+
+// A reserved address is no outgoing connection's, also between two listeners, and refuses while nobody listens.
+func TestAReservedAddressStaysFreeForListeners(t *testing.T) {
+	address, err := Reserve()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer address.Close()
+	other, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	local, err := net.ResolveTCPAddr("tcp", address.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 3 {
+		dialer := net.Dialer{LocalAddr: local}
+		if c, err := dialer.Dial("tcp", other.Addr().String()); !errors.Is(err, syscall.EADDRINUSE) {
+			t.Fatalf("an outgoing connection took the address: %v, %v", c, err)
+		}
+		if _, err := net.Dial("tcp", address.String()); !errors.Is(err, syscall.ECONNREFUSED) {
+			t.Fatalf("a connection that nobody accepts: %v", err)
+		}
+		ln, err := net.Listen("tcp", address.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		c, err := net.Dial("tcp", address.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Close()
+		ln.Close()
+	}
+}
+
+// A reserved address is given to nobody else who asks for any.
+func TestReservedAddressesDiffer(t *testing.T) {
+	seen := map[string]bool{}
+	for range 200 {
+		address, err := Reserve()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer address.Close()
+		if seen[address.String()] {
+			t.Fatalf("%s was given twice", address)
+		}
+		seen[address.String()] = true
+	}
+}
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -20,7 +20,7 @@
 }
 
 func dialClient(d *director) (*clientConnection, error) {
-	c, err := net.DialTimeout("tcp", d.address, time.Second)
+	c, err := net.DialTimeout("tcp", d.address.String(), time.Second)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/soak/director.go
+++ b/internal/soak/director.go
@@ -14,6 +14,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"fordusher/internal/loopback"
 )
 
 // A director is one process of the program, started anew after each end.
@@ -24,7 +26,7 @@
 	fleet     *fleet
 	ledger    *ledger
 	discovery *discovery
-	address   string
+	address   *loopback.Address
 	config    string
 	folder    string
 
@@ -43,7 +45,7 @@
 func newDirector(ctx context.Context, number int, o Options, f *fleet, l *ledger) (*director, error) {
 	d := &director{ctx: ctx, number: number, options: o, fleet: f, ledger: l}
 	var err error
-	if d.address, err = freeAddress(); err != nil {
+	if d.address, err = loopback.Reserve(); err != nil {
 		return nil, err
 	}
 	if d.folder, err = os.MkdirTemp("", "soak"); err != nil {
@@ -83,7 +85,7 @@
 	known, _ := json.Marshal(targets) // strings and numbers alone: it can't fail
 	return fmt.Appendf(nil, `{"name":"n%d","listen":%q,"seed":"%x","board":%q,"limits":{"cores":1,"memory_mb":192,"sockets":512},
  "known":{"rev":%d,"notices":[{"rev":%d,"pool":{"rev":%d,"all":true,"targets":%s}}]},"settings":%s}`,
-		d.number, d.address, d.options.Seed+uint64(d.number)+1, d.discovery.ln.Addr(), d.fleet.number, d.fleet.number, d.fleet.number, known,
+		d.number, d.address.String(), d.options.Seed+uint64(d.number)+1, d.discovery.ln.Addr(), d.fleet.number, d.fleet.number, d.fleet.number, known,
 		fmt.Sprintf(settings, d.options.Processes, d.number, d.options.Servers))
 }
 
@@ -122,7 +124,7 @@
 		close(ended)
 	}()
 	for until := time.Now().Add(10 * time.Second); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
-		if c, err := net.Dial("tcp", d.address); err == nil {
+		if c, err := net.Dial("tcp", d.address.String()); err == nil {
 			c.Close()
 			return nil
 		}
@@ -253,5 +255,6 @@
 	d.order()
 	d.discovery.ln.Close()
 	d.discovery.cut()
+	d.address.Close()
 	os.RemoveAll(d.folder)
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -7,7 +7,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"sync"
 	"time"
 )
@@ -124,13 +123,3 @@
 		return true
 	}
 }
-
-// freeAddress is one of loopback that nothing listens at.
-func freeAddress() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
-}
--- a/internal/transport/plain_test.go
+++ b/internal/transport/plain_test.go
@@ -7,6 +7,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"fordusher/internal/loopback"
 )
 
 // byLine is the smallest protocol that frames itself: a message is a byte that tells how long it is, and the rest.
@@ -77,13 +79,12 @@
 
 // A refusal must be told from a machine that says nothing: it proves that nothing runs there.
 func TestARefusedConnectionIsTold(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := loopback.Reserve() // nobody listens there, and nobody else can
 	if err != nil {
 		t.Fatal(err)
 	}
-	address := ln.Addr().String()
-	ln.Close()
-	if _, err := DialPlain(address, time.Second, byLine, plainBounds, &heardPlain{}); !errors.Is(err, syscall.ECONNREFUSED) {
+	defer address.Close()
+	if _, err := DialPlain(address.String(), time.Second, byLine, plainBounds, &heardPlain{}); !errors.Is(err, syscall.ECONNREFUSED) {
 		t.Fatalf("%v", err)
 	}
 }
