--- a/policy/policy.go
+++ b/policy/policy.go
@@ -533,7 +533,7 @@
 			n.shortAt = d.now
 			link, uplink := d.gauge.counts(n, 0, 0)
 			if asked := 1 / max(e.Value, 0.1); d.gauge.told && uplink > link && uplink > raiseTo {
-				d.gauge.heardUplink(n.rack, min(asked, 1/dropUnder), d.now-d.gauge.late)
+				d.gauge.heardUplink(n, min(asked, 1/dropUnder), d.now-d.gauge.late)
 			} else if d.gauge.told {
 				d.gauge.heard(n, asked, d.now-d.gauge.late)
 			}
@@ -558,7 +558,7 @@
 				n.doubted = -1
 			}
 		} else {
-			d.gauge.heardUplink(n.rack, e.Value, d.now-late)
+			d.gauge.heardUplink(n, e.Value, d.now-late)
 		}
 		d.gauge.fairRates(n.rack, d.nodes)
 	}
@@ -595,10 +595,16 @@
 	n.use.hear(figure, n.size, hearing, of)
 }
 
-func (g *gauge) heardUplink(r int, figure float64, of time.Duration) {
+// heardUplink takes a node's figure of its rack's uplink that tells of a time.
+func (g *gauge) heardUplink(n *node, figure float64, of time.Duration) {
 	g.told = true
-	g.uplinks.take(min(figure, believable)-g.racks[r].own/g.fleet.Uplink, recently, g.now)
-	g.racks[r].use.hear(figure, g.fleet.Uplink, hearing, of)
+	r := &g.racks[n.rack]
+	r.told(n.name, figure, g.now, g.fresh)
+	if g.now >= r.learnt+g.late { // one that tells all the time is one rack still
+		r.learnt = g.now
+		g.uplinks.take(min(figure, believable)-r.own/g.fleet.Uplink, recently, g.now)
+	}
+	r.use.hear(figure, g.fleet.Uplink, hearing, of)
 }
 
 // echoes tells how many times over a change of a session that plays counts: the other directors
@@ -653,9 +659,15 @@
 	return max(0, trust*(m.heard+m.since()/size)+(1-trust)*guess)
 }
 
-// counts tells what would be asked of a node's link and uplink with so much more.
+// counts tells what would be asked of a node's link and uplink with so much more. An uplink that is full by one other
+// node's word alone has room left for the lowest rung, unless uplinks elsewhere are near full too: a second node's
+// word closes the rack.
 func (g *gauge) counts(n *node, onLink, onUplink float64) (link, uplink float64) {
-	return g.link(n) + onLink/n.size, g.uplink(n.rack) + onUplink/g.fleet.Uplink
+	link, uplink = g.link(n)+onLink/n.size, g.uplink(n.rack)+onUplink/g.fleet.Uplink
+	if g.racks[n.rack].onOneWord(n.name, g.now) && g.uplinks.mean < spareTo {
+		uplink = min(uplink, fullAt)
+	}
+	return link, uplink
 }
 
 // streams counts a node's streams: from its report, else from its link use.
@@ -674,7 +686,7 @@
 		g.heard(n, load.Link, g.now-g.late)
 	}
 	if up := &g.racks[n.rack].use; load.Uplink >= 0 && (!up.known || g.now-up.of > g.fresh) {
-		g.heardUplink(n.rack, load.Uplink, g.now-g.late)
+		g.heardUplink(n, load.Uplink, g.now-g.late)
 	}
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -38,8 +38,28 @@
 }
 
 type rack struct {
-	use meter
-	own float64 // kB a second booked by this director
+	use         meter
+	own         float64       // kB a second booked by this director
+	learnt      time.Duration // when its figure last counted in what is usual
+	fullBy      string        // the node that last told of a full uplink; empty: none has
+	fullUntil   time.Duration // how long its word holds
+	agreedUntil time.Duration // how long the word of two nodes holds
+}
+
+// told takes a node's word on the rack's uplink, which holds for a time.
+func (r *rack) told(node string, figure float64, now, holds time.Duration) {
+	if figure <= fullAt {
+		return
+	}
+	if r.fullBy != node && now < r.fullUntil {
+		r.agreedUntil = now + holds
+	}
+	r.fullBy, r.fullUntil = node, now+holds
+}
+
+// onOneWord tells whether the uplink is full for a node by the word of one other node alone.
+func (r *rack) onOneWord(node string, now time.Duration) bool {
+	return r.fullBy != node && now < r.fullUntil && now >= r.agreedUntil
 }
 
 // A meter is a figure heard and what this director has changed since, kB a second. Changes are
