A step of the wall clock changes no decision: silence and ages by the monotonic clock

Cause: transport.Conn.heard was a Unix time, so a step forward by more than the time of silence gave up every connection to a server (TestQuietIsASpanOfRealTime tests the new reading; the old one had none); platform.age took the wall clock at each event, so a step made cold servers old or old ones cold.

--- a/cmd/fordusher/platform.go
+++ b/cmd/fordusher/platform.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"fordusher/internal/clock"
 	"fordusher/internal/daemon"
 	"fordusher/internal/herald"
 	"fordusher/internal/platform"
@@ -50,8 +51,9 @@
 	lines := herald.New(os.Stderr, pace)
 	defer lines.Close(time.Second)
 	log := logger(lines).Level(level)
-	house := posting.House(time.Now())
-	var front daemon.Front = platform.NewFront(posting, house, time.Now)
+	day := clock.NewSteady(time.Now)
+	house := posting.House(day.Now())
+	var front daemon.Front = platform.NewFront(posting, house, day.Now)
 	if c.Trace || c.TraceKinds {
 		stop := make(chan struct{})
 		defer close(stop)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -505,12 +505,12 @@
 		case director.AskAlive:
 			if c := d.links[o.Link]; c != nil {
 				c.Ping()
-				d.inbox.put(item{in: director.LinkAlive{Link: o.Link, Quiet: time.Since(c.Heard())}})
+				d.inbox.put(item{in: director.LinkAlive{Link: o.Link, Quiet: c.Quiet()}})
 			}
 		case director.AskPlayerAlive:
 			if c := d.players[o.Conn]; c != nil {
 				c.Ping()
-				d.inbox.put(item{in: director.PlayerAlive{Conn: o.Conn, Quiet: time.Since(c.Heard())}})
+				d.inbox.put(item{in: director.PlayerAlive{Conn: o.Conn, Quiet: c.Quiet()}})
 			}
 		case director.HangUp:
 			if c := d.links[o.Link]; c != nil {
@@ -585,7 +585,7 @@
 			case <-d.moved:
 				conn.Cut()
 			case <-time.After(snapEvery):
-				if quiet := d.house.ListQuiet; quiet > 0 && time.Since(conn.Heard()) > quiet {
+				if quiet := d.house.ListQuiet; quiet > 0 && conn.Quiet() > quiet {
 					d.log.Warn().Dur("quiet", quiet).Msg("the list's source says nothing any more: it is connected to again")
 					conn.Cut()
 				}
--- a/internal/transport/plain.go
+++ b/internal/transport/plain.go
@@ -31,7 +31,7 @@
 	}
 	np.SetWriteTimeout(bounds.Write)
 	c := &Conn{np: socket{np}, handler: handler, bounds: bounds, client: true, split: split, open: true, shook: true, fd: -1}
-	c.heard.Store(time.Now().UnixNano())
+	c.heard.Store(int64(monotonic()))
 	c.stand(np, nil)
 	return c, nil
 }
--- a/internal/transport/stand_test.go
+++ b/internal/transport/stand_test.go
@@ -64,3 +64,29 @@
 		t.Errorf("%d ends were told twice", n)
 	}
 }
+
+// What is told of a peer's last word is a span of the monotonic clock: a step of the wall clock changes nothing of it.
+func TestQuietIsASpanOfRealTime(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	split := func(in []byte) (int, error) { return len(in), nil }
+	c, err := DialPlain(ln.Addr().String(), time.Second, split, Bounds{Message: 100, Queue: 100}, quietHandler{make(chan struct{}, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Cut()
+	if quiet := c.Quiet(); quiet < 0 || quiet > time.Minute {
+		t.Fatalf("quiet for %v", quiet)
+	}
+	c.heard.Store(int64(monotonic() - time.Hour))
+	if quiet := c.Quiet(); quiet < time.Hour || quiet > time.Hour+time.Minute {
+		t.Fatalf("quiet for %v after an hour", quiet)
+	}
+	// A reading with a wall clock in it would be decades since 1970.
+	if since := monotonic(); since > 24*time.Hour {
+		t.Fatalf("the clock of connections reads %v", since)
+	}
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -178,9 +178,9 @@
 	queue   []frame
 	queued  int
 	writing bool
-	why     error // set once the connection is to end
-	last    bool  // nothing more goes out but the close frame that is queued
-	heard   atomic.Int64
+	why     error        // set once the connection is to end
+	last    bool         // nothing more goes out but the close frame that is queued
+	heard   atomic.Int64 // when anything last came from the peer, by monotonic; 0: never
 }
 
 type frame struct {
@@ -204,8 +204,13 @@
 // Peer is the other side's address.
 func (c *Conn) Peer() net.Addr { return c.np.RemoteAddr() }
 
-// Heard is when anything last came from the peer, in nanoseconds of the Unix clock.
-func (c *Conn) Heard() time.Time { return time.Unix(0, c.heard.Load()) }
+// Quiet is for how long nothing has come from the peer.
+func (c *Conn) Quiet() time.Duration { return monotonic() - time.Duration(c.heard.Load()) }
+
+var programStart = time.Now()
+
+// monotonic is the time since the program's start. Steps of the wall clock don't change it. It is never 0.
+func monotonic() time.Duration { return max(1, time.Since(programStart)) }
 
 // Send queues a message, or writes it where nothing waits; it never calls the handler, so it may be called
 // with any lock held. A tag other than 0 lets Withdraw and Closed name it. It says false where the
@@ -498,7 +503,7 @@
 
 // feed takes bytes from the peer; they are the caller's again afterwards.
 func (c *Conn) feed(in []byte) {
-	c.heard.Store(time.Now().UnixNano())
+	c.heard.Store(int64(monotonic()))
 	if len(c.partial) > 0 {
 		c.partial = append(c.partial, in...)
 		in = c.partial
@@ -882,7 +887,7 @@
 	np.SetReadTimeout(0)
 	np.SetWriteTimeout(bounds.Write)
 	c := &Conn{np: socket{np}, handler: handler, bounds: bounds, client: true, open: true, shook: true, fd: -1}
-	c.heard.Store(time.Now().UnixNano())
+	c.heard.Store(int64(monotonic()))
 	if cookie != nil {
 		c.SetCookie(cookie)
 	}
