--- /dev/null
+++ b/internal/transport/close.go
@@ -0,0 +1,143 @@
+package transport
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"unicode/utf8"
+
+	"github.com/cloudwego/netpoll"
+	"github.com/gobwas/ws"
+)
+
+// The reasons for which connections end, counted by the caller with Cause.
+var (
+	ErrSlow      = errors.New("peer does not read")
+	ErrTooLarge  = errors.New("message too large")
+	ErrProtocol  = errors.New("protocol broken")
+	ErrHandshake = errors.New("handshake failed")
+	ErrPeer      = errors.New("closed by peer")
+	ErrClosed    = errors.New("closed here")
+)
+
+// Cause is a short word for a closing error, for logs and metrics.
+func Cause(err error) string {
+	for _, c := range []struct {
+		err  error
+		word string
+	}{{ErrSlow, "slow"}, {ErrTooLarge, "too_large"}, {ErrProtocol, "protocol"}, {ErrHandshake, "handshake"},
+		{ErrPeer, "peer"}, {ErrClosed, "here"}} {
+		if errors.Is(err, c.err) {
+			return c.word
+		}
+	}
+	return "lost"
+}
+
+// An InputEnder is a Handler that closes connections itself whose peers have sent what can't be read: nothing more is read
+// from such a peer, and what is sent to it still goes out. It is asked only where messages frame themselves.
+type InputEnder interface {
+	InputEnded(c *Conn, why error)
+}
+
+// EndInput reads nothing more from a peer that has broken the protocol or a bound. The connection is closed, with a code,
+// by who has an InputEnder once nothing is owed on it, else at once.
+func (c *Conn) EndInput(why error, code ws.StatusCode) {
+	ender, ok := c.handler.(InputEnder)
+	if !ok || c.split == nil || c.server == nil || !c.whole.Load() {
+		c.end(why, code, why.Error())
+		return
+	}
+	if !c.deaf.Swap(true) {
+		ender.InputEnded(c, why)
+	}
+}
+
+// Close ends the connection after what is queued and a close frame have gone out.
+func (c *Conn) Close(code ws.StatusCode, reason string) {
+	c.end(fmt.Errorf("%w: %s", ErrClosed, reason), code, reason)
+}
+
+func (c *Conn) end(why error, code ws.StatusCode, reason string) {
+	c.mu.Lock()
+	if c.why != nil {
+		c.mu.Unlock()
+		return
+	}
+	c.why = why
+	shook := c.shook
+	c.mu.Unlock()
+	if !shook {
+		c.np.Close()
+		return
+	}
+	var body []byte
+	if c.split == nil {
+		body = ws.NewCloseFrameBody(code, closeReason(reason))
+	}
+	c.send(ws.OpClose, body, 0)
+}
+
+// closeReason makes a text fit into a close frame: short enough, and UTF-8, which a peer may insist on (RFC 6455, 5.5.1)
+// though its own bytes, quoted, are not.
+func closeReason(text string) string {
+	const most = 120
+	text = strings.ToValidUTF8(text, "?")
+	for len(text) > most {
+		_, last := utf8.DecodeLastRuneInString(text)
+		text = text[:len(text)-last]
+	}
+	return text
+}
+
+// Cut ends the connection at once; what is queued is dropped.
+func (c *Conn) Cut() { c.fail(ErrClosed) }
+
+// Reset ends the connection at once so that the peer sees a reset.
+func (c *Conn) Reset() {
+	if f, ok := c.descriptor(); ok {
+		setLinger(f)
+	}
+	c.fail(ErrClosed)
+}
+
+func (c *Conn) fail(why error) {
+	c.mu.Lock()
+	if c.why == nil {
+		c.why = why
+	}
+	if errors.Is(why, ErrSlow) && c.fd >= 0 {
+		// The peer's window is shut: a closing that waits for it would leave what is unsent in the kernel
+		// for minutes, and the peer would not hear of it.
+		setLinger(c.fd)
+	}
+	c.mu.Unlock()
+	c.np.Close()
+}
+
+func (c *Conn) closed(netpoll.Connection) error {
+	c.once.Do(c.settle)
+	return nil
+}
+
+func (c *Conn) settle() {
+	if c.server != nil {
+		c.cameWhole()
+		c.server.forget(c)
+	}
+	c.mu.Lock()
+	why := c.why
+	if why == nil {
+		why = fmt.Errorf("connection lost")
+		c.why = why
+	}
+	var unsent []uint64
+	for _, f := range c.queue {
+		if f.tag != 0 {
+			unsent = append(unsent, f.tag)
+		}
+	}
+	c.queue, c.queued, c.last, c.fd = nil, 0, true, -1 // the descriptor is closed after this
+	c.mu.Unlock()
+	c.handler.Closed(c, why, unsent)
+}
