Writes and dials that fail for a moment are tried again; local trouble is not a server's

Cause: a write that failed with ENOBUFS or ENOMEM closed the connection with what was owed on it, and so did EINTR in the networking library's own writes (sendmsg in its flush and its poller take any error but EAGAIN for the end). A dial that failed with ENOBUFS, ENOMEM, EADDRNOTAVAIL, ENETUNREACH, EINTR and the like counted as the server's failure, the third in a row as its death. Change: frames go to the descriptor by our own write at all times, with EAGAIN, EINTR, ENOBUFS, ENOMEM and short writes tried again until the write time-out; a frame is named as unsent until its first byte is handed over. A dial that fails by trouble of this machine is tried again for 100 ms and then told as that (transport.IsLocal), which ends waiting attempts as never made and says nothing of the server. The calls sit behind one struct that tests put faults into. Seen to fail with the old rule in place: TestMomentaryWriteErrorsLoseNothing, TestAWriteThatStandsStillEnds, TestMomentaryTroubleWhileConnecting. Tests of transport (-race, twice), daemon, platform, director, load pass.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -540,7 +540,7 @@
 	h := &link{d: d, node: o.Node, peer: peer{number: o.Link}}
 	if _, err := d.front.DialNode(o.Address, o.Within, h); err != nil {
 		d.inbox.put(item{in: director.LinkFailed{Node: o.Node, Link: o.Link, Refused: errors.Is(err, syscall.ECONNREFUSED),
-			Crowded: errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)}})
+			Crowded: transport.IsLocal(err)}})
 	}
 }
 
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -74,7 +74,7 @@
 		Link uint64
 	}
 	// LinkFailed says that a Connect failed; nothing was sent on it. Refused: the machine answers, and
-	// nothing runs there. Crowded: it was not tried for want of descriptors here.
+	// nothing runs there. Crowded: it could not be tried for trouble of this machine (descriptors, memory, ports, its own network).
 	LinkFailed struct {
 		Node    string
 		Link    uint64
--- a/internal/transport/close.go
+++ b/internal/transport/close.go
@@ -95,9 +95,11 @@
 
 // Reset ends the connection at once so that the peer sees a reset.
 func (c *Conn) Reset() {
-	if f, ok := c.descriptor(); ok {
-		setLinger(f)
+	c.mu.Lock()
+	if c.usable {
+		c.np.reset()
 	}
+	c.mu.Unlock()
 	c.fail(ErrClosed)
 }
 
@@ -106,11 +108,12 @@
 	if c.why == nil {
 		c.why = why
 	}
-	if errors.Is(why, ErrSlow) && c.fd >= 0 {
+	if errors.Is(why, ErrSlow) && c.usable {
 		// The peer's window is shut: a closing that waits for it would leave what is unsent in the kernel
 		// for minutes, and the peer would not hear of it.
-		setLinger(c.fd)
+		c.np.reset()
 	}
+	c.usable = false
 	c.mu.Unlock()
 	c.np.Close()
 }
@@ -137,7 +140,7 @@
 			unsent = append(unsent, f.tag)
 		}
 	}
-	c.queue, c.queued, c.last, c.fd = nil, 0, true, -1 // the descriptor is closed after this
+	c.queue, c.queued, c.last, c.usable = nil, 0, true, false // the descriptor is closed after this
 	c.mu.Unlock()
 	c.handler.Closed(c, why, unsent)
 }
--- a/internal/transport/dial.go
+++ b/internal/transport/dial.go
@@ -23,7 +23,7 @@
 // DialFrom is Dial from an address of this machine; without one the system chooses.
 func DialFrom(from netip.Addr, address, protocol string, within time.Duration, bounds Bounds, handler Handler, cookie any) (*Conn, error) {
 	began := time.Now()
-	np, err := dial(from, address, within)
+	np, err := dialAgain(within, func(within time.Duration) (netpoll.Connection, error) { return dial(from, address, within) })
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", address, err)
 	}
@@ -38,8 +38,7 @@
 		return nil, fmt.Errorf("connect to %s: %w: %v", address, ErrHandshake, err)
 	}
 	np.SetReadTimeout(0)
-	np.SetWriteTimeout(bounds.Write)
-	c := &Conn{np: socket{np}, handler: handler, bounds: bounds, client: true, open: true, shook: true, fd: -1}
+	c := &Conn{np: newSocket(np), handler: handler, bounds: bounds, client: true, open: true, shook: true, usable: true}
 	c.heard.Store(int64(monotonic()))
 	if cookie != nil {
 		c.SetCookie(cookie)
@@ -63,8 +62,6 @@
 	if !np.IsActive() { // it ended before the callback was there: netpoll leaves such a connection to its user
 		np.Close()
 		c.closed(np)
-	} else {
-		c.writeAtOnce()
 	}
 }
 
--- a/internal/transport/memory.go
+++ b/internal/transport/memory.go
@@ -61,30 +61,25 @@
 	network *Network
 	peer    netip.AddrPort
 	out     func(p []byte)
-	next    []byte
 }
 
 func (m *memory) RemoteAddr() net.Addr { return net.TCPAddrFromAddrPort(m.peer) }
 
-func (m *memory) stage(frames []frame, _ int) error {
-	for _, f := range frames {
-		m.next = append(m.next, f.body...)
+func (m *memory) write(p []byte) (int, error) {
+	if len(p) > 0 {
+		m.network.carry(m, p)
 	}
-	return nil
+	return len(p), nil
 }
 
-func (m *memory) flush() error {
-	m.network.carry(m, m.next)
-	m.next = nil
-	return nil
-}
+func (m *memory) reset() {}
 
 func (m *memory) Close() error { return m.conn.closed(nil) }
 
 // Attach adds a connection in memory, as from an address; what the server writes goes to out, from the
 // network's goroutine.
 func (s *Server) Attach(n *Network, peer netip.AddrPort, out func(p []byte)) *Conn {
-	c := &Conn{handler: s.handler, bounds: s.bounds, server: s, fd: -1}
+	c := &Conn{handler: s.handler, bounds: s.bounds, server: s, usable: true}
 	c.np = &memory{conn: c, network: n, peer: peer, out: out}
 	s.pending.Add(1)
 	s.mu.Lock()
--- a/internal/transport/plain.go
+++ b/internal/transport/plain.go
@@ -25,12 +25,11 @@
 
 // DialPlain is Dial for a protocol without a handshake that frames its messages itself.
 func DialPlain(address string, within time.Duration, split Split, bounds Bounds, handler Handler) (*Conn, error) {
-	np, err := dialPlain(address, within)
+	np, err := dialAgain(within, func(within time.Duration) (netpoll.Connection, error) { return dialPlain(address, within) })
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", address, err)
 	}
-	np.SetWriteTimeout(bounds.Write)
-	c := &Conn{np: socket{np}, handler: handler, bounds: bounds, client: true, split: split, open: true, shook: true, fd: -1}
+	c := &Conn{np: newSocket(np), handler: handler, bounds: bounds, client: true, split: split, open: true, shook: true, usable: true}
 	c.heard.Store(int64(monotonic()))
 	c.stand(np, nil)
 	return c, nil
@@ -38,7 +37,7 @@
 
 // dialPlain connects by way of the standard library, which tells a refusal from other failures; netpoll does not.
 func dialPlain(address string, within time.Duration) (netpoll.Connection, error) {
-	c, err := net.DialTimeout("tcp", address, within)
+	c, err := system.Load().dial(address, within)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -41,7 +41,7 @@
 	s.loop, err = netpoll.NewEventLoop(
 		func(ctx context.Context, np netpoll.Connection) error { return ctx.Value(key{}).(*Conn).read(ctx, np) },
 		netpoll.WithOnPrepare(func(np netpoll.Connection) context.Context {
-			c := &Conn{np: socket{np}, handler: handler, bounds: bounds, server: s, split: split, shook: split != nil, came: time.Now(), fd: -1}
+			c := &Conn{np: newSocket(np), handler: handler, bounds: bounds, server: s, split: split, shook: split != nil, came: time.Now()}
 			n := s.pending.Add(1)
 			if split != nil && bounds.Pending > 0 && int(n) > bounds.Pending {
 				s.crowdOut()
@@ -61,9 +61,10 @@
 				// leaves it as it was.
 				unix.SetsockoptInt(f.Fd(), unix.SOL_SOCKET, unix.SO_SNDBUF, bounds.Kernel)
 			}
-			np.SetWriteTimeout(bounds.Write)
 			np.AddCloseCallback(c.closed)
-			c.writeAtOnce()
+			c.mu.Lock()
+			c.usable = true // the callback runs before the descriptor is closed
+			c.mu.Unlock()
 			s.mu.Lock()
 			s.conns[c] = true
 			s.mu.Unlock()
--- /dev/null
+++ b/internal/transport/syscalls_test.go
@@ -0,0 +1,192 @@
+package transport
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// inject puts system calls with faults in the place of the real ones for connections that begin during the test.
+func inject(t *testing.T, calls systemCalls) {
+	t.Helper()
+	if calls.write == nil {
+		calls.write = realCalls.write
+	}
+	if calls.dial == nil {
+		calls.dial = realCalls.dial
+	}
+	system.Store(&calls)
+	t.Cleanup(func() { system.Store(&realCalls) })
+}
+
+// A faultyWrite fails so often, then writes one byte less than it was given, then fails again, and so on.
+type faultyWrite struct {
+	mu      sync.Mutex
+	fault   error
+	inARow  int
+	already int
+}
+
+func (w *faultyWrite) write(descriptor int, p []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.already++; w.already <= w.inARow {
+		return -1, w.fault
+	}
+	w.already = 0
+	if len(p) > 1 {
+		p = p[:len(p)-1] // a short write
+	}
+	return unix.Write(descriptor, p)
+}
+
+// A write that fails for a moment or is short costs no connection and no message, and nothing goes out twice.
+func TestMomentaryWriteErrorsLoseNothing(t *testing.T) {
+	for _, fault := range []error{unix.EAGAIN, unix.EINTR, unix.ENOBUFS, unix.ENOMEM} {
+		t.Run(fault.Error(), func(t *testing.T) {
+			faults := &faultyWrite{fault: fault, inARow: 3}
+			inject(t, systemCalls{write: faults.write})
+			h := &heardPlain{}
+			s, err := ServePlain("127.0.0.1:0", byLine, plainBounds, h)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer s.Close()
+			back := &heardPlain{}
+			c, err := DialPlain(s.Address(), time.Second, byLine, plainBounds, back)
+			if err != nil {
+				t.Fatal(err)
+			}
+			const messages = 20
+			for i := range messages {
+				if !c.Send(fmt.Appendf(nil, "\x04%03d", i), uint64(i+1)) {
+					t.Fatalf("message %d was refused", i)
+				}
+			}
+			h.wait(t, "not all came", func() bool { return len(h.said) == messages })
+			for i, said := range h.said {
+				if want := fmt.Sprintf("\x04%03d", i); said != want {
+					t.Fatalf("message %d is %q", i, said)
+				}
+			}
+			back.mu.Lock()
+			defer back.mu.Unlock()
+			if back.closed != 0 {
+				t.Fatal("the connection was closed")
+			}
+		})
+	}
+}
+
+// A connection that is broken ends, whichever of its errors the system tells.
+func TestABrokenConnectionEnds(t *testing.T) {
+	for _, fault := range []error{unix.EPIPE, unix.ECONNRESET, unix.ETIMEDOUT, unix.EHOSTUNREACH} {
+		t.Run(fault.Error(), func(t *testing.T) {
+			inject(t, systemCalls{write: func(int, []byte) (int, error) { return -1, fault }})
+			s, err := ServePlain("127.0.0.1:0", byLine, plainBounds, &heardPlain{})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer s.Close()
+			back := &heardPlain{}
+			c, err := DialPlain(s.Address(), time.Second, byLine, plainBounds, back)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if c.Send([]byte("\x02a"), 1) {
+				t.Fatal("a message was taken")
+			}
+			back.wait(t, "not closed", func() bool { return back.closed == 1 })
+		})
+	}
+}
+
+// A write that the kernel takes nothing of ends the connection after the write time-out, and names what never went out.
+func TestAWriteThatStandsStillEnds(t *testing.T) {
+	inject(t, systemCalls{write: func(int, []byte) (int, error) { return -1, unix.ENOBUFS }})
+	s, err := ServePlain("127.0.0.1:0", byLine, plainBounds, &heardPlain{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	bounds := plainBounds
+	bounds.Write = 100 * time.Millisecond
+	ended := &endedPlain{why: make(chan error, 1)}
+	c, err := DialPlain(s.Address(), time.Second, byLine, bounds, ended)
+	if err != nil {
+		t.Fatal(err)
+	}
+	began := time.Now()
+	c.Send([]byte("\x02a"), 7)
+	select {
+	case why := <-ended.why:
+		if took := time.Since(began); !errors.Is(why, ErrSlow) || took < bounds.Write {
+			t.Fatalf("%v after %v", why, took)
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("it stands still for ever")
+	}
+	if len(ended.unsent) != 1 || ended.unsent[0] != 7 {
+		t.Fatalf("never sent: %v", ended.unsent)
+	}
+}
+
+// An endedPlain tells why its connection ended, and what was never sent on it.
+type endedPlain struct {
+	why    chan error
+	unsent []uint64
+}
+
+func (h *endedPlain) Opened(*Conn)          {}
+func (h *endedPlain) Message(*Conn, []byte) {}
+func (h *endedPlain) Closed(_ *Conn, why error, unsent []uint64) {
+	h.unsent = unsent
+	h.why <- why
+}
+
+// Trouble of this machine while it connects passes: it is tried again within the time there is, and what is told in the
+// end is told from what a server says.
+func TestMomentaryTroubleWhileConnecting(t *testing.T) {
+	s, err := ServePlain("127.0.0.1:0", byLine, plainBounds, &heardPlain{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	for _, fault := range []syscall.Errno{unix.ENOBUFS, unix.ENOMEM, unix.EINTR, unix.EAGAIN, unix.EADDRNOTAVAIL, unix.ENETUNREACH,
+		unix.ENETDOWN, unix.EMFILE, unix.ENFILE, unix.ECONNABORTED} {
+		failed := func() error { return &net.OpError{Op: "dial", Err: &net.OpError{Op: "connect", Err: fault}} }
+		left := 3
+		inject(t, systemCalls{dial: func(address string, within time.Duration) (net.Conn, error) {
+			if left--; left >= 0 {
+				return nil, failed()
+			}
+			return realCalls.dial(address, within)
+		}})
+		c, err := DialPlain(s.Address(), time.Second, byLine, plainBounds, &heardPlain{})
+		if err != nil {
+			t.Fatalf("%v three times: %v", fault, err)
+		}
+		c.Cut()
+		inject(t, systemCalls{dial: func(string, time.Duration) (net.Conn, error) { return nil, failed() }})
+		began := time.Now()
+		if _, err := DialPlain(s.Address(), 50*time.Millisecond, byLine, plainBounds, &heardPlain{}); !IsLocal(err) {
+			t.Fatalf("%v throughout is not told as trouble of this machine: %v", fault, err)
+		}
+		if took := time.Since(began); took > time.Second {
+			t.Fatalf("%v: gave up after %v", fault, took)
+		}
+	}
+	for _, fault := range []syscall.Errno{unix.ECONNREFUSED, unix.ETIMEDOUT, unix.EHOSTUNREACH, unix.ECONNRESET} {
+		tries := 0
+		inject(t, systemCalls{dial: func(string, time.Duration) (net.Conn, error) { tries++; return nil, fault }})
+		if _, err := DialPlain(s.Address(), time.Second, byLine, plainBounds, &heardPlain{}); IsLocal(err) || !errors.Is(err, fault) || tries != 1 {
+			t.Fatalf("%v, which speaks of the server: %v after %d tries", fault, err, tries)
+		}
+	}
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -71,7 +71,7 @@
 	head    []byte      // of a handshake that waits for the gate
 	whole   atomic.Bool // the handshake has come whole, or the connection has ended before
 	cutoff  *time.Timer // for one that does not
-	fd      int         // where frames are written at once while nothing waits; under 0: not there (any more)
+	usable  bool        // the carrier is there and takes bytes: neither new nor closed
 	queue   []frame
 	queued  int
 	writing bool
--- a/internal/transport/write.go
+++ b/internal/transport/write.go
@@ -1,13 +1,12 @@
 package transport
 
 import (
-	"errors"
 	"fmt"
 	"net"
+	"time"
 
 	"github.com/cloudwego/netpoll"
 	"github.com/gobwas/ws"
-	"golang.org/x/sys/unix"
 )
 
 // Queued tells whether anything that was sent still waits to be written.
@@ -17,32 +16,42 @@
 	return c.writing
 }
 
-// A carrier is what is below a connection: netpoll's, or one in memory.
+// A carrier is what is below a connection: a socket, or one in memory.
 type carrier interface {
 	Close() error
 	RemoteAddr() net.Addr
-	// stage takes bytes of the frames that are to be written next. It is called with the connection's lock
-	// held and never after the connection was settled: its buffers may be another's by then.
-	stage(frames []frame, size int) error
-	// flush blocks until the kernel has what was staged, or the write time-out is over.
-	flush() error
+	// write hands bytes to the kernel, as many as it takes now, and never blocks. None and no error: it takes none for
+	// the moment. It is called with the connection's lock held, and never after the connection was settled: its
+	// descriptor may be another's by then.
+	write(p []byte) (int, error)
+	// reset makes the close that follows a reset. It is called as write is.
+	reset()
 }
 
-type socket struct{ netpoll.Connection }
+// socket is a carrier over TCP. Netpoll reads; what is written goes to the descriptor directly.
+type socket struct {
+	netpoll.Connection
+	descriptor int
+	calls      *systemCalls
+}
 
-func (s socket) stage(frames []frame, size int) error {
-	out, err := s.Writer().Malloc(size)
-	if err != nil {
-		return err
+func newSocket(np netpoll.Connection) socket {
+	s := socket{np, -1, system.Load()}
+	if d, ok := np.(netpoll.Conn); ok {
+		s.descriptor = d.Fd()
 	}
-	at := 0
-	for _, f := range frames {
-		at += copy(out[at:], f.body)
+	return s
+}
+
+func (s socket) write(p []byte) (int, error) {
+	n, err := s.calls.write(s.descriptor, p)
+	if err != nil && momentary(err) {
+		err = nil
 	}
-	return nil
+	return max(0, n), err
 }
 
-func (s socket) flush() error { return s.Writer().Flush() }
+func (s socket) reset() { setLinger(s.descriptor) }
 
 type frame struct {
 	tag    uint64
@@ -103,24 +112,20 @@
 		c.mu.Unlock()
 		return false
 	}
-	if m, ok := c.np.(*memory); ok && !last && c.why == nil {
-		c.mu.Unlock()
-		m.network.carry(m, f.body)
-		return true
-	}
-	if !last && !c.writing && c.fd >= 0 {
-		n, err := unix.Write(c.fd, f.body)
-		switch {
-		case n == len(f.body):
-			c.mu.Unlock()
-			return true
-		case n > 0: // the rest can't be had back any more
-			f = frame{body: f.body[n:]}
-		case err != unix.EAGAIN && err != unix.EINTR:
+	if !last && !c.writing && c.usable {
+		n, err := c.np.write(f.body)
+		if err != nil {
 			c.mu.Unlock()
 			go c.fail(err) // the handler's Closed may want a lock that our caller holds
 			return false
 		}
+		if n == len(f.body) {
+			c.mu.Unlock()
+			return true
+		}
+		if n > 0 { // the rest can't be had back any more
+			f = frame{body: f.body[n:]}
+		}
 	}
 	if c.queued+len(f.body) > c.bounds.Queue && !last {
 		queued := c.queued
@@ -155,69 +160,78 @@
 	return false
 }
 
-// writeAtOnce lets frames be written without a goroutine while nothing waits. It is called once the close
-// callback is in place, which runs before the descriptor is closed: no other file can come to have it while
-// a write holds the lock.
-func (c *Conn) writeAtOnce() {
-	f, ok := c.descriptor()
-	if !ok {
-		return
-	}
-	c.mu.Lock()
-	if c.why == nil && !c.last {
-		c.fd = f
-	}
-	c.mu.Unlock()
-}
-
-// batchMost is how many bytes are handed to the kernel at once: what waits behind them can still be
-// withdrawn.
-const batchMost = 16 << 10
+// How long the writer waits before it tries again where the kernel takes nothing: at first, and at most. The wait
+// doubles while nothing moves.
+const (
+	firstWritePause = 200 * time.Microsecond
+	mostWritePause  = 10 * time.Millisecond
+)
 
 // write hands queued frames to the kernel until none is left. One runs at a time for each connection.
 func (c *Conn) write() {
+	pause, since := firstWritePause, monotonic()
 	for {
-		c.mu.Lock()
-		if len(c.queue) == 0 {
-			c.writing = false
-			c.queue = nil
-			last, why := c.last, c.why
-			c.mu.Unlock()
-			if last && why != nil {
-				c.np.Close()
-			}
-			return
-		}
-		take, size := 0, 0
-		for take < len(c.queue) && (take == 0 || size+len(c.queue[take].body) <= batchMost) {
-			size += len(c.queue[take].body)
-			take++
-		}
-		err := c.np.stage(c.queue[:take], size)
-		c.queue = c.queue[take:]
-		c.queued -= size
-		c.mu.Unlock()
-		if err == nil {
-			err = c.np.flush()
-		}
-		if err != nil {
-			if errors.Is(err, netpoll.ErrWriteTimeout) {
-				err = fmt.Errorf("%w: a write stood still for %v", ErrSlow, c.bounds.Write)
-			}
+		progress, done, err := c.writeFirst()
+		switch {
+		case err != nil:
 			c.fail(err)
-			c.mu.Lock()
-			c.writing = false
-			c.mu.Unlock()
 			return
+		case done:
+			return
+		case progress == frameWritten:
+			pause, since = firstWritePause, monotonic()
+			continue
+		case c.bounds.Write > 0 && monotonic()-since > c.bounds.Write:
+			c.fail(fmt.Errorf("%w: a write stood still for %v", ErrSlow, c.bounds.Write))
+			return
+		case progress == someWritten:
+			pause = firstWritePause
 		}
+		time.Sleep(pause)
+		pause = min(2*pause, mostWritePause)
 	}
 }
 
-func (c *Conn) descriptor() (int, bool) {
-	if s, ok := c.np.(socket); ok {
-		if f, ok := s.Connection.(netpoll.Conn); ok {
-			return f.Fd(), true
+// writeProgress is what one look at the queue came to.
+type writeProgress int
+
+const (
+	nothingWritten writeProgress = iota
+	someWritten
+	frameWritten
+)
+
+// writeFirst hands over as much of the first frame as the kernel takes. Done says that there is nothing left to write,
+// in which case the connection is closed if that was to follow.
+func (c *Conn) writeFirst() (progress writeProgress, done bool, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.usable { // what waits is named when the connection is settled
+		c.writing = false
+		return nothingWritten, true, nil
+	}
+	if len(c.queue) == 0 {
+		c.writing = false
+		c.queue = nil
+		if c.last && c.why != nil {
+			go c.np.Close() // the handler's Closed may want this lock
 		}
+		return nothingWritten, true, nil
+	}
+	f := &c.queue[0]
+	n, err := c.np.write(f.body)
+	if err != nil {
+		c.writing = false
+		return nothingWritten, false, err
+	}
+	c.queued -= n
+	if n == len(f.body) {
+		c.queue = c.queue[1:]
+		return frameWritten, false, nil
+	}
+	if n == 0 {
+		return nothingWritten, false, nil
 	}
-	return 0, false
+	*f = frame{body: f.body[n:]} // the rest can't be had back any more
+	return someWritten, false, nil
 }
