Accepting rests 20 ms at most in trouble, and a dialled peer's address is known

Cause: while accept fails with EMFILE or ENFILE the networking library rests up to 1 s between tries, longer than some clients wait, and it spins through its poller on ENOBUFS and ENOMEM. A connection that was dialled for the platform had no peer address, so the line on a server's malformed message panicked (caught, and counted as a complaint). Where handing a descriptor to the library failed it was closed twice. Change: transport.listener sorts accept's errors and rests itself; dialled carries the address; one close.

--- a/internal/transport/plain.go
+++ b/internal/transport/plain.go
@@ -54,14 +54,23 @@
 	if dup != nil {
 		return nil, dup
 	}
-	np, err := netpoll.NewFDConnection(fd)
+	np, err := netpoll.NewFDConnection(fd) // on an error it has closed the descriptor
 	if err != nil {
-		unix.Close(fd)
 		return nil, err
 	}
-	return np, nil
+	return dialled{np, c.RemoteAddr()}, nil
 }
 
+// dialled is a connection of netpoll's that knows its peer, which netpoll does not of a descriptor that it is given.
+type dialled struct {
+	netpoll.Connection
+	peer net.Addr
+}
+
+func (d dialled) RemoteAddr() net.Addr { return d.peer }
+
+func (d dialled) Fd() int { return d.Connection.(netpoll.Conn).Fd() }
+
 // closeLater is "try again later" of the registry of RFC 6455.
 const closeLater = ws.StatusCode(1013)
 
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -32,7 +32,7 @@
 }
 
 func serve(address, protocol string, split Split, bounds Bounds, handler Handler) (*Server, error) {
-	ln, err := netpoll.CreateListener("tcp", address)
+	ln, err := listen(address)
 	if err != nil {
 		return nil, fmt.Errorf("listen at %s: %w", address, err)
 	}
--- a/internal/transport/syscalls.go
+++ b/internal/transport/syscalls.go
@@ -12,11 +12,15 @@
 
 // systemCalls are the calls to the system whose failures decide something here. Tests put others in their place.
 type systemCalls struct {
-	write func(descriptor int, p []byte) (int, error)
-	dial  func(address string, within time.Duration) (net.Conn, error)
+	accept func(descriptor int) (accepted int, peer unix.Sockaddr, err error)
+	write  func(descriptor int, p []byte) (int, error)
+	dial   func(address string, within time.Duration) (net.Conn, error)
 }
 
 var realCalls = systemCalls{
+	accept: func(descriptor int) (int, unix.Sockaddr, error) {
+		return unix.Accept4(descriptor, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+	},
 	write: unix.Write,
 	dial: func(address string, within time.Duration) (net.Conn, error) {
 		return net.DialTimeout("tcp", address, within)
--- a/internal/transport/syscalls_test.go
+++ b/internal/transport/syscalls_test.go
@@ -4,7 +4,9 @@
 	"errors"
 	"fmt"
 	"net"
+	"runtime"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -15,6 +17,9 @@
 // inject puts system calls with faults in the place of the real ones for connections that begin during the test.
 func inject(t *testing.T, calls systemCalls) {
 	t.Helper()
+	if calls.accept == nil {
+		calls.accept = realCalls.accept
+	}
 	if calls.write == nil {
 		calls.write = realCalls.write
 	}
@@ -190,3 +195,80 @@
 		}
 	}
 }
+
+// Accepting that fails, whatever for and for however long, is taken up again at once when the trouble is over, and costs
+// no connection: clients wait in the listener's queue.
+func TestAcceptGoesOnAfterTrouble(t *testing.T) {
+	for _, fault := range []error{unix.ECONNABORTED, unix.EINTR, unix.EPROTO, unix.ENETUNREACH, unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM,
+		unix.EPERM} {
+		t.Run(fault.Error(), func(t *testing.T) {
+			const trouble = 700 * time.Millisecond // over the library's rests of 10, 50, 100, 200 ms: it would wait 500 more
+			var until atomic.Int64
+			var calls atomic.Int64
+			inject(t, systemCalls{accept: func(descriptor int) (int, unix.Sockaddr, error) {
+				if calls.Add(1); int64(monotonic()) < until.Load() {
+					return -1, nil, fault
+				}
+				return realCalls.accept(descriptor)
+			}})
+			h := &heardPlain{echo: true}
+			s, err := ServePlain("127.0.0.1:0", byLine, plainBounds, h)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer s.Close()
+			for range 2 { // and again after it went well
+				until.Store(int64(monotonic() + trouble))
+				back := &heardPlain{}
+				c, err := DialPlain(s.Address(), time.Second, byLine, plainBounds, back)
+				if err != nil {
+					t.Fatal(err)
+				}
+				c.Send([]byte("\x02a"), 0)
+				back.wait(t, "no answer", func() bool { return len(back.said) == 1 })
+				if late := monotonic() - time.Duration(until.Load()); late > 200*time.Millisecond {
+					t.Fatalf("answered %v after the trouble was over", late)
+				}
+			}
+		})
+	}
+}
+
+// A server that is closed while accepting fails lets go of its listener's descriptor and leaves nothing behind.
+func TestCloseWhileAcceptFails(t *testing.T) {
+	inject(t, systemCalls{accept: func(int) (int, unix.Sockaddr, error) { return -1, nil, unix.ENFILE }})
+	s, err := ServePlain("127.0.0.1:0", byLine, plainBounds, &heardPlain{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := net.Dial("tcp", s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	before := runtime.NumGoroutine()
+	time.Sleep(50 * time.Millisecond) // it rests
+	s.Close()
+	for end := time.Now().Add(5 * time.Second); runtime.NumGoroutine() > before; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d goroutines, %d before", runtime.NumGoroutine(), before)
+		}
+	}
+}
+
+// Who was dialled is known by its address, which the line on a malformed message tells.
+func TestADialledPeerIsKnown(t *testing.T) {
+	s, err := ServePlain("127.0.0.1:0", byLine, plainBounds, &heardPlain{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	c, err := DialPlain(s.Address(), time.Second, byLine, plainBounds, &heardPlain{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Cut()
+	if peer := c.Peer(); peer == nil || peer.String() != s.Address() {
+		t.Fatalf("%v, dialled %s", peer, s.Address())
+	}
+}
