A director ends after its clients' connections, and answers on them until they are closed

Cause: at the end of a stop the loop closed every client's connection whatever had been read on it and ended in the same step, so a request that waited in the inbox was dropped, and the inbox was not read again while the rest was written out. Where the last step was a tick, the process then stood still for up to 0.2 s before it ended, past the kill where deadlines are short. Change: package closing has a last phase: the listener ends, the connections on which nothing waits are closed, each again right after an answer, and the director ends once none is left (0.15 s at most, half of what is left until the kill). A connection without a close frame is closed at once, so that nothing more is read on it.

--- a/closing/closing.go
+++ b/closing/closing.go
@@ -10,26 +10,32 @@
 	Within time.Duration // sessions and answers alike are done by then
 	Slice  time.Duration // time between slices
 	Least  time.Duration // who still comes is answered for so long
+	Part   time.Duration // longest that clients' connections may take to close after that
 }
 
-// Left is what a director still has: answers owed and sessions that play.
-type Left struct{ Owed, Playing int }
+// Left is what a director still has: answers owed, sessions that play, and connections from clients.
+type Left struct{ Owed, Playing, Clients int }
 
-// Plan is what is to be done now: end so many sessions that play, give up what is still owed, stop, or
-// look again at a time.
+// Plan is what is to be done now: end so many sessions that play, give up what is still owed, close the connections from
+// clients on which nothing is owed, stop, or look again at a time.
 type Plan struct {
 	End    int
 	GiveUp bool
+	Part   bool
 	Done   bool
 	Again  time.Duration
 }
 
+// partEvery is how often connections that did not close are looked at again.
+const partEvery = 10 * time.Millisecond
+
 // Closing is one stop under way.
 type Closing struct {
 	term  Term
 	began time.Duration
 	slice int
 	due   time.Duration
+	parts time.Duration // when clients' connections began to be closed; 0: they have not
 }
 
 // Begin starts a stop.
@@ -44,7 +50,7 @@
 		if least := c.began + c.term.Least; now < least {
 			return Plan{Again: least}
 		}
-		return Plan{Done: true}
+		return c.part(now, left)
 	}
 	end := c.began + c.term.Within
 	if now >= end {
@@ -65,3 +71,14 @@
 	plan.Again = min(c.due, end)
 	return plan
 }
+
+// part ends the stop once no client is connected, or the time for that is over.
+func (c *Closing) part(now time.Duration, left Left) Plan {
+	if c.parts == 0 {
+		c.parts = max(1, now)
+	}
+	if left.Clients == 0 || now >= c.parts+c.term.Part {
+		return Plan{Part: true, Done: true}
+	}
+	return Plan{Part: true, Again: min(now+partEvery, c.parts+c.term.Part)}
+}
--- a/closing/closing_test.go
+++ b/closing/closing_test.go
@@ -20,7 +20,7 @@
 		now := time.Duration(rapid.IntRange(0, 1e6).Draw(t, "now"))
 		end := now + term.Within
 		c := Begin(now, term)
-		left := Left{rapid.IntRange(0, 50).Draw(t, "owed"), rapid.IntRange(0, 20_000).Draw(t, "playing")}
+		left := Left{Owed: rapid.IntRange(0, 50).Draw(t, "owed"), Playing: rapid.IntRange(0, 20_000).Draw(t, "playing")}
 		for step := 0; ; step++ {
 			p := c.Step(now, left)
 			if p.Done {
--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -55,6 +55,9 @@
 	Inbox   int // messages of one peer that wait for the loop
 }
 
+// partWithin is how long clients' connections may take to close when a director ends.
+const partWithin = 200 * time.Millisecond
+
 // Module starts the module with what the house was told.
 func (h *House) Module(seed uint64) *policy.Director {
 	tariffs := make([]policy.Tariff, len(h.Tariffs))
@@ -116,6 +119,7 @@
 	h.Term = closing.Term{
 		Within: c.Span("within", 8*time.Second, time.Millisecond, time.Hour, false),
 		Slice:  c.Span("slice", 500*time.Millisecond, time.Millisecond, time.Minute, false),
+		Part:   partWithin,
 	}
 	c.Done()
 	h.door(r, o.Object("limits", false))
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -372,6 +372,9 @@
 			}
 			d.snap()
 		}
+		if ended {
+			break
+		}
 		if len(batch) > 0 {
 			select {
 			case <-d.quit:
@@ -407,6 +410,7 @@
 // farewell lets what is queued go out, for a short while, and then ends every connection.
 func (d *Daemon) farewell() {
 	d.server.Refusing(true)
+	d.server.Each(func(c *transport.Conn) { c.Close(closeGoing, "director closes") }) // what has come in part is no request
 	for end := time.Now().Add(d.house.Door.Players.Write * 2); time.Now().Before(end); {
 		open := 0
 		d.server.Each(func(*transport.Conn) { open++ })
@@ -526,6 +530,8 @@
 			}
 		case director.Log:
 			d.log.Info().Msg(o.Words)
+		case director.StopAccepting:
+			d.server.StopAccepting()
 		case director.Ended:
 			ended = true
 		}
@@ -617,6 +623,7 @@
 const (
 	closePolicy = 1008
 	closeData   = 1007
+	closeGoing  = 1001
 )
 
 // complainEvery is how often a malformed message of each kind of peer is told of; in between they are counted.
--- a/internal/director/account.go
+++ b/internal/director/account.go
@@ -22,6 +22,7 @@
 	seat     int32               // its small index, for the limits
 	turned   bool                // loose: there was no room for it; what it asks is refused for a moment, and it is leaving
 	leaving  bool                // it was told to go: what it asks from now on is not taken
+	parting  bool                // it is being closed at the director's end, and nothing that was read on it is known to wait
 	inputEnd string              // why nothing more can be read from it; empty: it can
 }
 
--- a/internal/director/closing_test.go
+++ b/internal/director/closing_test.go
@@ -36,3 +36,61 @@
 		s.oneAnswer(wire.Plays)
 	}
 }
+
+// A director that has nothing left to do closes its clients' connections before it ends, and goes on answering until the
+// last of them is closed: a request that was read on one of them is owed its answer.
+func TestADirectorEndsOnlyAfterItsClientsConnections(t *testing.T) {
+	s := newStageWith(t, 1, func(l *Loop) {
+		l.manners.Loose, l.manners.Greetless, l.manners.Linger = true, true, 0
+		l.term.Part = 200 * time.Millisecond
+	})
+	s.enter(2)
+	s.forget()
+	s.do(Stop{})
+	s.pass(30 * ms)
+	closes := func() (conns []uint64) {
+		for _, o := range s.all {
+			if c, is := o.(ClosePlayer); is {
+				if !c.Idle {
+					t.Fatalf("connection %d is closed whatever was read on it", c.Conn)
+				}
+				conns = append(conns, c.Conn)
+			}
+		}
+		return conns
+	}
+	if got := closes(); s.ended || len(got) != 2 {
+		t.Fatalf("ended %v, closed %v", s.ended, got)
+	}
+	s.do(PlayerClosed{Conn: 1})
+	s.forget()
+	s.do(PlayerStays{Conn: 2}) // a request was read on it, and comes now
+	s.asks(2, "a", "clip")
+	s.oneAnswer(wire.Nack)
+	s.pass(50 * ms)
+	if got := closes(); s.ended || len(got) != 1 || got[0] != 2 {
+		t.Fatalf("ended %v, closed %v", s.ended, got)
+	}
+	s.do(PlayerClosed{Conn: 2})
+	s.pass(50 * ms)
+	if !s.ended {
+		t.Fatal("not ended though no client is left")
+	}
+}
+
+// A connection that does not close keeps the director for its time and no longer.
+func TestAClientsConnectionThatStaysOpenDoesNotKeepTheDirector(t *testing.T) {
+	s := newStageWith(t, 1, func(l *Loop) {
+		l.manners.Loose, l.manners.Greetless, l.manners.Linger = true, true, 0
+		l.term.Part = 200 * time.Millisecond
+	})
+	s.do(Stop{})
+	s.pass(190 * ms)
+	if s.ended {
+		t.Fatal("ended before its time")
+	}
+	s.pass(30 * ms)
+	if !s.ended {
+		t.Fatal("kept for ever")
+	}
+}
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -201,6 +201,8 @@
 	TellList struct{ Message wire.List }
 	// Log is a line for those on call.
 	Log struct{ Words string }
+	// StopAccepting ends the listener: who connects from now on is refused by the system.
+	StopAccepting struct{}
 	// Ended says that a director ordered to stop has nothing left to do.
 	Ended struct{}
 )
@@ -217,6 +219,7 @@
 func (HangUp) output()         {}
 func (TellList) output()       {}
 func (Log) output()            {}
+func (StopAccepting) output()  {}
 func (Ended) output()          {}
 
 // Tariff is a tariff under the name that players give it.
@@ -288,6 +291,7 @@
 	owed, playing int
 	stop          *closing.Closing
 	ended         bool
+	parting       bool // clients' connections are being closed, and no more are accepted
 	more          bool // the limits have more to do now
 	counts        Counts
 	oddMove       bool
@@ -374,11 +378,17 @@
 		l.limit(limits.Event{What: limits.Measure, Memory: e.Bytes, Nodes: l.linkSockets()})
 	case PlayerSaid:
 		l.playerSaid(e)
+		if c := l.conns[e.Conn]; c != nil && l.parting {
+			l.partFrom(c, false) // with its answer: there would always be another request
+		}
 	case PlayerClosed:
 		l.playerClosed(e)
 	case ClientInputEnded:
 		l.inputEnded(e)
 	case PlayerStays:
+		if c := l.conns[e.Conn]; c != nil {
+			c.parting = false
+		}
 		if c := l.conns[e.Conn]; c != nil && c.leaving && !c.turned {
 			c.leaving = false
 			l.limit(limits.Event{What: limits.Stays, Conn: int(c.seat)})
@@ -568,13 +578,13 @@
 
 // close works on a stop under way.
 func (l *Loop) close() {
-	plan := l.stop.Step(l.now, closing.Left{Owed: l.owed, Playing: l.playing})
+	plan := l.stop.Step(l.now, closing.Left{Owed: l.owed, Playing: l.playing, Clients: len(l.conns)})
+	if plan.Part {
+		l.part(plan.Done)
+	}
 	if plan.Done && l.mayStop() {
 		l.ended = true
 		l.logInvariants()
-		for conn := range sorted(l.conns) {
-			l.closeClient(ClosePlayer{Conn: conn, Code: 1001, Why: "director closes"})
-		}
 		l.do(Ended{})
 		return
 	}
@@ -593,6 +603,24 @@
 	l.timers.Add(plan.Again, due{timerClose, 0})
 }
 
+// part closes the clients' connections on which nothing more is to come. One on which something was read meanwhile stays,
+// unless this is the last look, and is closed once that is answered.
+func (l *Loop) part(last bool) {
+	if !l.parting {
+		l.parting = true
+		l.do(StopAccepting{})
+	}
+	for _, c := range sorted(l.conns) {
+		if !c.parting || last {
+			l.partFrom(c, last)
+		}
+	}
+}
+
+func (l *Loop) partFrom(c *conn, last bool) {
+	c.parting = l.closeClient(ClosePlayer{Conn: c.number, Code: 1001, Why: "director closes", Idle: !last})
+}
+
 // sessionName is a session's name for players and nodes.
 func (l *Loop) sessionName(id uint64) string {
 	return l.name + "." + l.boot + "." + strconv.FormatUint(id, 36)
--- a/internal/platform/start.go
+++ b/internal/platform/start.go
@@ -202,7 +202,7 @@
 	if every := simwire.Span(t.Family.Every); every > 0 { // a node with sessions is heard so often
 		h.Pace.Ping = (every + time.Second) / 3
 	}
-	h.Term = closing.Term{Within: p.closeWithin(), Slice: 200 * time.Millisecond, Least: p.closeLeast()}
+	h.Term = closing.Term{Within: p.closeWithin(), Slice: 200 * time.Millisecond, Least: p.closeLeast(), Part: p.partWithin()}
 	sockets := p.Limits.Sockets
 	if sockets == 0 {
 		sockets = 1024
@@ -249,6 +249,7 @@
 	killAfter = 700 * time.Millisecond
 	lastAfter = 700 * time.Millisecond
 	leaveBy   = 300 * time.Millisecond // of killAfter: the rest is for what is still on its way out
+	partMost  = 150 * time.Millisecond // for clients' connections to close
 )
 
 // longest is the longest hard stop, as it counts for an order to stop.
@@ -267,6 +268,11 @@
 	return min(time.Second, lastAfter+p.longest()/2)
 }
 
+// partWithin is how long clients' connections may take to close at the end: half of what is left until it is killed.
+func (p *Posting) partWithin() time.Duration {
+	return min(partMost, (p.longest()+killAfter-max(p.closeWithin(), p.closeLeast()))/2)
+}
+
 func (e target) entry(now time.Time) wire.Entry {
 	state, known := stateNames[e.State]
 	if !known {
--- a/internal/transport/accept.go
+++ b/internal/transport/accept.go
@@ -64,8 +64,11 @@
 	}
 }
 
+// Close may be called again by netpoll's shutdown, when the descriptor may be another file's.
 func (l *listener) Close() error {
-	l.closed.Store(true)
+	if l.closed.Swap(true) {
+		return nil
+	}
 	return l.Listener.Close()
 }
 
--- a/internal/transport/close.go
+++ b/internal/transport/close.go
@@ -65,9 +65,10 @@
 		return
 	}
 	c.why = why
-	shook := c.shook
+	// Where there is no close frame to write the connection is closed at once: what comes from now on isn't read.
+	nothingToWrite := !c.shook || c.split != nil && !c.writing
 	c.mu.Unlock()
-	if !shook {
+	if nothingToWrite {
 		c.np.Close()
 		return
 	}
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -91,6 +91,17 @@
 // Refusing makes the server reset whoever connects, as a machine does on which nothing listens.
 func (s *Server) Refusing(on bool) { s.refusing.Store(on) }
 
+// StopAccepting ends the listener and closes the connections on which nothing has come yet. Who connects from then on is
+// refused by the system.
+func (s *Server) StopAccepting() {
+	s.listener.Close()
+	s.Each(func(c *Conn) {
+		if c.heard.Load() == 0 {
+			c.Cut()
+		}
+	})
+}
+
 // Each calls f for every connection.
 func (s *Server) Each(f func(*Conn)) {
 	s.mu.Lock()
