A request that waited in the kernel during a pause of the process has that time counted

Cause: the time that a request has left was counted from when its bytes were read. After a pause of the process (SIGSTOP, a machine that stands still) a server was told 779 ms where the client had 299 ms left. Change: the loop notices from a wait that ran over by 50 ms that the process did not run, and what is read then counts as sent when the pause began.

--- a/cmd/fordusher/platform_test.go
+++ b/cmd/fordusher/platform_test.go
@@ -46,9 +46,16 @@
 	answers func(session string) string
 	waits   []func()
 	seen    []string // sessions set up, in order
+	within  []within // what each of them said of its time
 	conns   []net.Conn
 }
 
+// within is how long a director said that it waits for a set-up, and when that came.
+type within struct {
+	at   time.Time
+	said time.Duration
+}
+
 func newMediaNode(t *testing.T) *mediaNode {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -115,6 +122,8 @@
 			answer = func() { io.WriteString(c, answers(session)) }
 		}
 		n.seen = append(n.seen, session)
+		milliseconds, _ := strconv.Atoi(head.Get("X-Setup-Ms"))
+		n.within = append(n.within, within{time.Now(), time.Duration(milliseconds) * time.Millisecond})
 		if n.held {
 			n.waits = append(n.waits, answer)
 		} else {
@@ -262,7 +271,11 @@
 }
 
 func setUpAt(session uint64, home, copies int) []byte {
-	return binaryMessage(1, session, 33, "clip", 36, "10000", 45, "7f3a9c21e0b4d655", 63, "8200.0",
+	return setUpWithin(session, home, copies, 10*time.Second)
+}
+
+func setUpWithin(session uint64, home, copies int, wait time.Duration) []byte {
+	return binaryMessage(1, session, 33, "clip", 36, strconv.FormatInt(wait.Milliseconds(), 10), 45, "7f3a9c21e0b4d655", 63, "8200.0",
 		48, fmt.Sprintf("home:%d;copies:%d;top:1;viewer:00000000b4d65521", home, copies), 78, "there\n")
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -60,6 +60,7 @@
 	deafened atomic.Int64
 	skew     atomic.Int64 // by Jump
 	late     lateness     // of the loop's goroutine
+	pauses   pauses       // of the process; the loop's goroutine
 }
 
 // lateness is the loop's greatest lateness in a span and in the one before, so that who looks changes nothing.
@@ -384,7 +385,8 @@
 			}
 			continue
 		}
-		timer.Reset(min(max(0, d.loop.Next()-d.now()), snapEvery))
+		waits, from := min(max(0, d.loop.Next()-d.now()), lookMost), time.Now()
+		timer.Reset(waits)
 		select {
 		case <-d.inbox.wake:
 		case <-timer.C:
@@ -392,6 +394,7 @@
 			d.cut()
 			return
 		}
+		d.pauses.waited(from, time.Now(), waits)
 	}
 	d.farewell()
 }
@@ -449,7 +452,7 @@
 		if d.house.Manners.Linger == 0 && asks(e) && (i.peer.left.Load() || d.inbox.undone(i.peer, e.Message.ID)) {
 			return false // who left while the request waited here is owed nothing, and nothing is begun for it
 		}
-		e.Waited = time.Since(i.came)
+		e.Waited = time.Since(d.pauses.sent(i.came))
 		i.in = e
 	case director.PlayerKnocked:
 		d.players[e.Conn] = i.conn
