A set-up that waits 0.1 s to be written is dropped and placed anew

Cause: X-Setup-Ms is worked out when a set-up is put into the outbound queue, where it could wait for the write time-out of 1 s and then tell a server more time than its client had left. Change: transport.SendWithin; what is not begun in time is dropped and told, and its attempt ends as never sent. Measured: TestAMessageThatWaitsTooLongIsDropped (-race); tests of daemon, platform, director pass.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -470,6 +470,10 @@
 	return d.carryOut(d.loop.Step(d.now(), i.in))
 }
 
+// setUpWaitsMost is how long a set-up may wait to be written. It tells a server how long its client waits, as of when it was
+// made, and the rest of the slack of 0.15 s is for its way.
+const setUpWaitsMost = 100 * time.Millisecond
+
 // carryOut does what the loop wants done.
 func (d *Daemon) carryOut(outs []director.Output) (ended bool) {
 	var stay []uint64
@@ -502,7 +506,10 @@
 			}
 		case director.TellNode:
 			c := d.links[o.Link]
-			if (c == nil || !c.Send(d.front.ToNode(o), o.Setup)) && o.Setup != 0 {
+			switch {
+			case o.Setup == 0 && c != nil:
+				c.Send(d.front.ToNode(o), 0)
+			case o.Setup != 0 && (c == nil || !c.SendWithin(d.front.ToNode(o), o.Setup, setUpWaitsMost)):
 				d.inbox.put(item{in: director.Withdrawn{Leg: o.Setup}}) // never queued, so never sent
 			}
 		case director.Withdraw:
@@ -722,6 +729,11 @@
 	h.d.inbox.put(item{in: director.LinkMade{Node: h.node, Link: h.peer.number}, conn: c})
 }
 
+// Expired says that a set-up was not written in time, and never will be.
+func (h *link) Expired(_ *transport.Conn, attempt uint64) {
+	h.d.inbox.put(item{in: director.Withdrawn{Leg: attempt}})
+}
+
 func (h *link) Message(c *transport.Conn, raw []byte) {
 	in, reply, err := h.d.front.FromNode(raw)
 	if err != nil {
--- a/internal/transport/syscalls_test.go
+++ b/internal/transport/syscalls_test.go
@@ -272,3 +272,54 @@
 		t.Fatalf("%v, dialled %s", peer, s.Address())
 	}
 }
+
+// A message that is worth something for a time only goes out within it or never, and its sender is told; what waits behind
+// it goes out.
+func TestAMessageThatWaitsTooLongIsDropped(t *testing.T) {
+	var blocked atomic.Bool
+	inject(t, systemCalls{write: func(descriptor int, p []byte) (int, error) {
+		if blocked.Load() {
+			return -1, unix.EAGAIN
+		}
+		return unix.Write(descriptor, p)
+	}})
+	server := &heardPlain{}
+	s, err := ServePlain("127.0.0.1:0", byLine, plainBounds, server)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	h := &expiring{expired: make(chan uint64, 10)}
+	c, err := DialPlain(s.Address(), time.Second, byLine, plainBounds, h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	blocked.Store(true)
+	began := time.Now()
+	c.SendWithin([]byte("\x02a"), 7, 50*time.Millisecond)
+	c.Send([]byte("\x02b"), 8)
+	c.SendWithin([]byte("\x02c"), 9, time.Minute)
+	select {
+	case tag := <-h.expired:
+		if took := time.Since(began); tag != 7 || took < 50*time.Millisecond {
+			t.Fatalf("message %d was dropped after %v", tag, took)
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("nothing was dropped")
+	}
+	blocked.Store(false)
+	server.wait(t, "the others did not come", func() bool { return len(server.said) == 2 })
+	if server.said[0] != "\x02b" || server.said[1] != "\x02c" {
+		t.Fatalf("%q", server.said)
+	}
+	if c.Withdraw(7) {
+		t.Fatal("what was dropped is withdrawn too")
+	}
+}
+
+type expiring struct {
+	heardPlain
+	expired chan uint64
+}
+
+func (h *expiring) Expired(_ *Conn, tag uint64) { h.expired <- tag }
--- a/internal/transport/write.go
+++ b/internal/transport/write.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/cloudwego/netpoll"
@@ -54,9 +55,10 @@
 func (s socket) reset() { setLinger(s.descriptor) }
 
 type frame struct {
-	tag    uint64
-	advice uint64
-	body   []byte
+	tag     uint64
+	advice  uint64
+	expires time.Duration // by monotonic: not begun after that; 0: whenever
+	body    []byte
 }
 
 // Send queues a message, or writes it where nothing waits; it never calls the handler, so it may be called
@@ -64,6 +66,17 @@
 // connection has ended or its queue is full, in which case the connection is ended.
 func (c *Conn) Send(message []byte, tag uint64) bool { return c.send(ws.OpText, message, tag) }
 
+// An Expirer is a Handler that is told of messages of SendWithin that were not begun in time and never will be.
+type Expirer interface {
+	Expired(c *Conn, tag uint64)
+}
+
+// SendWithin is Send for a message that is worth nothing unless its first byte is handed to the kernel within a time. Else
+// it is dropped, and the handler told.
+func (c *Conn) SendWithin(message []byte, tag uint64, within time.Duration) bool {
+	return c.put(frame{tag: tag, expires: monotonic() + within, body: c.frame(ws.OpText, message)}, false)
+}
+
 // Advise queues a message that may be dropped or overtaken: one with the same key that still waits is
 // replaced by it, and nothing is queued where half of the queue's bound is taken. It is for advice, which a
 // later one makes worthless; key 0 replaces nothing.
@@ -171,6 +184,7 @@
 func (c *Conn) write() {
 	pause, since := firstWritePause, monotonic()
 	for {
+		c.expire()
 		progress, done, err := c.writeFirst()
 		switch {
 		case err != nil:
@@ -235,3 +249,24 @@
 	*f = frame{body: f.body[n:]} // the rest can't be had back any more
 	return someWritten, false, nil
 }
+
+// expire drops the queued frames whose time is over.
+func (c *Conn) expire() {
+	now := monotonic()
+	var tags []uint64
+	c.mu.Lock()
+	c.queue = slices.DeleteFunc(c.queue, func(f frame) bool {
+		if f.expires == 0 || now <= f.expires {
+			return false
+		}
+		c.queued -= len(f.body)
+		tags = append(tags, f.tag)
+		return true
+	})
+	c.mu.Unlock()
+	if handler, ok := c.handler.(Expirer); ok {
+		for _, tag := range tags {
+			handler.Expired(c, tag)
+		}
+	}
+}
