Requests over the inbox's bound are refused, not dropped; a panic's test; audit of endings

Cause: a connection whose waiting messages passed the bound (2,048) had its input ended, and what came over it was dropped: 499 of 2,548 requests sent while the loop stood still were read and never answered. Change: such a request is refused at the edge, and the connection goes on; anything else over the bound still ends the input (TestFloodOfOnePeerIsCutOff as before). Counted as overfull_total.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -57,6 +57,7 @@
 	refused  [3]atomic.Int64 // malformed messages of players, nodes, the list
 	complain [3]rate.Sometimes
 	flooded  atomic.Int64
+	overfull atomic.Int64 // requests refused for want of room in the inbox
 	deafened atomic.Int64
 	skew     atomic.Int64 // by Jump
 	late     lateness     // of the loop's goroutine
@@ -630,6 +631,13 @@
 	return false
 }
 
+// refuse answers a request for which there is no room in the inbox. The loop never hears of it, so it has never run.
+func (d *Daemon) refuse(c *transport.Conn, in director.PlayerSaid) {
+	d.overfull.Add(1)
+	c.Send(d.front.ToPlayer(director.TellPlayer{Message: wire.Session{
+		Type: wire.Nack, ID: in.Message.ID, Backoff: d.house.Queue.Retry.Milliseconds(), Why: "too many requests at once"}}), 0)
+}
+
 const (
 	closePolicy = 1008
 	closeData   = 1007
@@ -689,7 +697,14 @@
 	if reply != nil {
 		c.Send(reply, 0)
 	}
-	if in.Message.Type == "" || !h.d.bound(c, p) {
+	if in.Message.Type == "" {
+		return
+	}
+	if asks(in) && int(p.pending.Load()) >= h.d.house.Door.Inbox {
+		h.d.refuse(c, in)
+		return
+	}
+	if !h.d.bound(c, p) {
 		return
 	}
 	in.Conn = p.number
@@ -809,6 +824,7 @@
 		{"unfit_total", "messages that this kind of peer does not send", prometheus.CounterValue, float64(c.BadWord)},
 		{"malformed_total", "malformed messages", prometheus.CounterValue,
 			float64(d.refused[0].Load() + d.refused[1].Load() + d.refused[2].Load())},
+		{"overfull_total", "requests refused because too many of their connection waited", prometheus.CounterValue, float64(d.overfull.Load())},
 		{"flooded_total", "connections closed for too many messages", prometheus.CounterValue, float64(d.flooded.Load())},
 		{"accept_complaints_total", "failures that the transport noted", prometheus.CounterValue, float64(transport.Complaints())},
 		{"answers_owed", "requests without an answer yet", prometheus.GaugeValue, float64(s.owed)},
--- a/internal/platform/closing_test.go
+++ b/internal/platform/closing_test.go
@@ -1,6 +1,9 @@
 package platform
 
 import (
+	"fordusher/internal/director"
+	"fordusher/policy"
+	"sync"
 	"testing"
 	"time"
 )
@@ -50,3 +53,52 @@
 		})
 	}
 }
+
+// A stalling lets a module's Step wait while it is held.
+type stalling struct {
+	director.Decider
+	hold sync.Mutex
+}
+
+func (s *stalling) Step(now time.Duration, happened policy.Event) []policy.Action {
+	s.hold.Lock()
+	defer s.hold.Unlock()
+	return s.Decider.Step(now, happened)
+}
+
+// More requests than a connection may have waiting come while the loop stands still. Each has one final answer, and the
+// connection stays.
+func TestMoreRequestsThanMayWaitAreAllAnswered(t *testing.T) {
+	var held *stalling
+	p := startWith(t, 1, "", settings, func(d director.Decider) director.Decider {
+		held = &stalling{Decider: d}
+		return held
+	})
+	v := p.viewer()
+	v.passed()
+	held.hold.Lock()
+	const requests = inboxMost + 500
+	go func() {
+		for id := range uint64(requests) {
+			v.send(aSetup(id+1, atHome))
+		}
+		time.Sleep(50 * time.Millisecond)
+		held.hold.Unlock()
+	}()
+	answers := map[uint64]int{}
+	for len(answers) < requests {
+		m, ok := v.next()
+		if !ok {
+			t.Fatalf("the connection was closed after %d of %d answers", len(answers), requests)
+		}
+		if m.kind == kindAnswer || m.kind == kindRelease && answers[m.session] == 0 {
+			answers[m.session]++
+		}
+	}
+	for id, n := range answers {
+		if n != 1 {
+			t.Fatalf("%d answers to request %d", n, id)
+		}
+	}
+	v.passed() // it still works
+}
--- a/internal/transport/plain_test.go
+++ b/internal/transport/plain_test.go
@@ -172,3 +172,51 @@
 	slow.Write([]byte("a"))
 	h.wait(t, "the message did not come whole", func() bool { return len(h.said) == 1 })
 }
+
+// A panicking handler panics on one kind of message, and notes whose input has ended.
+type panicking struct {
+	heardPlain
+	ended chan *Conn
+}
+
+func (h *panicking) Message(c *Conn, m []byte) {
+	if string(m) == "\x02!" {
+		panic("a fault of the program")
+	}
+	h.heardPlain.Message(c, m)
+}
+
+func (h *panicking) InputEnded(c *Conn, _ error) { h.ended <- c }
+
+// A handler that panics ends its peer's input and not the connection: what is owed on it still goes out.
+func TestAPanicEndsTheInputAlone(t *testing.T) {
+	h := &panicking{ended: make(chan *Conn, 1)}
+	s, err := ServePlain("127.0.0.1:0", byLine, plainBounds, h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	back := &heardPlain{}
+	c, err := DialPlain(s.Address(), time.Second, byLine, plainBounds, back)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Send([]byte("\x02a"), 0)
+	c.Send([]byte("\x02!"), 0)
+	var there *Conn
+	select {
+	case there = <-h.ended:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the input was not ended")
+	}
+	c.Send([]byte("\x02b"), 0)
+	if !there.Send([]byte("\x02x"), 0) {
+		t.Fatal("what is owed can't be sent")
+	}
+	back.wait(t, "what is owed did not come", func() bool { return len(back.said) == 1 && back.said[0] == "\x02x" })
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.said) != 1 || h.closed != 0 || back.closed != 0 {
+		t.Fatalf("heard %q, closed %d", h.said, h.closed)
+	}
+}
