--- a/cmd/fordusher/main.go
+++ b/cmd/fordusher/main.go
@@ -33,6 +33,7 @@
 	Player     playerCommand     `cmd:"" help:"Run one player: ask for a session and print what is answered."`
 	Import     importCommand     `cmd:"" help:"Make a director's file of another program's configuration, and account for every line."`
 	Hunt       huntCommand       `cmd:"" help:"Draw days in virtual time and keep the worst."`
+	Scale      scaleCommand      `cmd:"" help:"Measure what a director needs between more and more emulated servers, and hold it against bounds."`
 	Soak       soakCommand       `cmd:"" help:"Run directors as processes under random faults that overlap, and check the rules."`
 	Shrink     shrinkCommand     `cmd:"" help:"Cut a failing day in virtual time down as far as it still fails."`
 	Experiment experimentCommand `cmd:"" help:"Play a grid of days in virtual time: policies, seeds, sizes; tables, charts, paired differences."`
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -64,8 +64,13 @@
 	return slices.Contains(k.ids, id)
 }
 
-// ask writes a request and returns its id.
+// ask writes a request that any server may serve, and returns its id.
 func (k *clientConnection) ask(d *director, paid bool, wait time.Duration) uint64 {
+	return k.askFor(d, paid, wait, 0, d.options.Servers)
+}
+
+// askFor writes a request that some servers may serve: so many from a first one on.
+func (k *clientConnection) askFor(d *director, paid bool, wait time.Duration, home, copies int) uint64 {
 	id := d.ledger.ask(d, paid, wait)
 	class := "clip"
 	if paid {
@@ -74,7 +79,7 @@
 	k.mu.Lock()
 	k.ids = append(k.ids, id)
 	k.mu.Unlock()
-	if _, err := k.conn.Write(setup(id, class, wait, d.options.Servers)); err != nil {
+	if _, err := k.conn.Write(setup(id, class, wait, home, copies)); err != nil {
 		k.ledger.unsent(id)
 	}
 	time.AfterFunc(wait+answerSlack+50*time.Millisecond, func() { k.ledger.late(id) })
@@ -151,7 +156,7 @@
 	case n < 96: // what can't be read behind a request: that is owed its answer all the same
 		time.AfterFunc(after, func() { k.conn.Write([]byte{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10}) })
 	case n < 98: // half a message
-		time.AfterFunc(after, func() { k.conn.Write(setup(1, "clip", wait, 1)[:20]) })
+		time.AfterFunc(after, func() { k.conn.Write(setup(1, "clip", wait, 0, 1)[:20]) })
 	}
 	time.AfterFunc(wait+2*answerSlack+2*time.Second, k.close)
 }
--- a/internal/soak/director.go
+++ b/internal/soak/director.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -86,7 +87,7 @@
 	return fmt.Appendf(nil, `{"name":"n%d","listen":%q,"seed":"%x","board":%q,"limits":{"cores":1,"memory_mb":192,"sockets":512},
  "known":{"rev":%d,"notices":[{"rev":%d,"pool":{"rev":%d,"all":true,"targets":%s}}]},"settings":%s}`,
 		d.number, d.address.String(), d.options.Seed+uint64(d.number)+1, d.discovery.ln.Addr(), d.fleet.number, d.fleet.number, d.fleet.number, known,
-		fmt.Sprintf(settings, d.options.Processes, d.number, d.options.Servers))
+		fmt.Sprintf(settings, cmp.Or(d.options.Directors, d.options.Processes), d.number, d.options.Servers))
 }
 
 // start runs the process and returns once it accepts clients.
@@ -106,7 +107,11 @@
 		return err
 	}
 	cmd := exec.CommandContext(d.ctx, d.options.Program, "platform")
-	cmd.Env = append(os.Environ(), "PROXY_CONFIG="+d.config, "FORDUSHER_LOG_LEVEL=debug", "GORACE=atexit_sleep_ms=0")
+	level := "debug"
+	if d.options.Faultless {
+		level = "info"
+	}
+	cmd.Env = append(os.Environ(), "PROXY_CONFIG="+d.config, "FORDUSHER_LOG_LEVEL="+level, "GORACE=atexit_sleep_ms=0")
 	log := &bytes.Buffer{}
 	cmd.Stderr = log
 	if err := cmd.Start(); err != nil {
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -14,6 +14,9 @@
 	ledger *ledger
 	draw   func(int) int
 	cells  int
+	// faultless servers answer every set-up.
+	faultless bool
+	counted   counters
 
 	mu       sync.Mutex
 	servers  []*server // also those that are gone
@@ -22,8 +25,8 @@
 	byID     sync.Map // *server by its id
 }
 
-func newFleet(l *ledger, draw func(int) int, cells int) *fleet {
-	return &fleet{ledger: l, draw: draw, cells: cells, watchers: map[*discovery]bool{}}
+func newFleet(l *ledger, draw func(int) int, cells int, faultless bool) *fleet {
+	return &fleet{ledger: l, draw: draw, cells: cells, faultless: faultless, watchers: map[*discovery]bool{}}
 }
 
 // add starts a server; one with a time of its start is told as cold.
@@ -172,7 +175,9 @@
 
 // write is called with the lock held.
 func (v *discovery) write(e event) {
-	if _, err := v.conn.Write(discoveryFrame(e.number, e.records)); err != nil {
+	frame := discoveryFrame(e.number, e.records)
+	v.director.fleet.counted.listBytes.Add(int64(len(frame)))
+	if _, err := v.conn.Write(frame); err != nil {
 		return // the director asks for it again
 	}
 	for _, x := range e.records {
--- a/internal/soak/messages.go
+++ b/internal/soak/messages.go
@@ -34,10 +34,11 @@
 	return raw
 }
 
-func setup(session uint64, class string, wait time.Duration, cells int) []byte {
+// setup asks for a session at any of so many cells from a first one on.
+func setup(session uint64, class string, wait time.Duration, home, copies int) []byte {
 	return clientMessage(kindSetup, session, codeClass, class, codeWait, strconv.FormatInt(wait.Milliseconds(), 10), codeTitle,
 		fmt.Sprintf("%016x", session%64), codeHint, "1000.0", codePlace,
-		fmt.Sprintf("home:%d;copies:%d;top:1;viewer:%016x", int(session)%cells, cells, session), codeDescription, "there\r\n")
+		fmt.Sprintf("home:%d;copies:%d;top:1;viewer:%016x", home, copies, session), codeDescription, "there\r\n")
 }
 
 func cancel(session uint64) []byte {
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -45,6 +45,7 @@
 		}
 		s.conns[c] = true
 		s.mu.Unlock()
+		s.fleet.counted.connections.Add(1)
 		go s.serve(c)
 	}
 }
@@ -125,7 +126,10 @@
 	s.mu.Lock()
 	s.sessions[q.session] = x
 	s.mu.Unlock()
-	n := s.fleet.draw(1000)
+	n := 0 // the first of the behaviours
+	if !s.fleet.faultless {
+		n = s.fleet.draw(1000)
+	}
 	delay := time.Duration(s.fleet.draw(40)) * time.Millisecond
 	for _, b := range behaviours {
 		if n -= b.share; n < 0 {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -18,6 +18,8 @@
 	Servers   int           // emulated servers at one time
 	Length    time.Duration // how long clients ask
 	Program   string        // the program to run as a director
+	Directors int           // that the directors' settings name; 0: as many as there are processes
+	Faultless bool          // servers answer every set-up, and directors log little
 	Logs      string        // a folder for the directors' logs; empty: they are dropped
 }
 
@@ -77,7 +79,7 @@
 }
 
 func (r *run) start(ctx context.Context) error {
-	r.fleet = newFleet(r.ledger, r.draw, r.Servers)
+	r.fleet = newFleet(r.ledger, r.draw, r.Servers, r.Faultless)
 	for range r.Servers {
 		if _, err := r.fleet.add(time.Time{}); err != nil {
 			return err
