An event of the module costs what it concerns, not the number of servers

Cause: placing looked at every server, a note and each rack of a list change at every server again, and the look every 0.1 s at every server: a change of one server among 3,200 cost 6.3 ms, a request 36 us, a note 7.2 us, a look 46 us. Change: policy/index.go finds servers by cell and by rack, in the order of before; the sums over all servers are kept as they change; only servers that were taken off the list are looked at for being forgotten. No decision changes.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -52,6 +52,7 @@
 	sessions []session    // a place is used again once its session has left the door
 	names    door[string] // emptied as nodes leave the list and their last session ends
 	nodes    []node
+	index    index
 	halls    map[hall]int // seats taken; emptied as sessions end
 }
 
@@ -69,6 +70,7 @@
 		ration:  ration{legs: legs},
 		backoff: tidings.Backoff,
 		watch:   ramp.AskWithin / 2,
+		index:   newIndex(fleet.Cells),
 		ids:     newDoor[uint64](),
 		names:   newDoor[string](),
 		halls:   map[hall]int{},
@@ -130,7 +132,7 @@
 	if n, ok := d.names.find(e.Playing); ok {
 		s.node = n
 		d.warmth.handed = true
-		d.nodes[n].legs++
+		d.countLeg(&d.nodes[n], 1)
 		d.carry(s, s.rung)
 	}
 }
@@ -187,7 +189,7 @@
 	if s.node >= 0 {
 		n := &d.nodes[s.node]
 		d.carry(s, -1)
-		n.legs--
+		d.countLeg(n, -1)
 		if was == setting {
 			n.outs--
 		}
@@ -239,9 +241,18 @@
 			d.rescore(s)
 		}
 	}
-	for i := range d.nodes {
+	d.index.leaving = slices.DeleteFunc(d.index.leaving, func(i int) bool {
 		d.dropNode(i)
-	}
+		n := &d.nodes[i]
+		n.leaving = n.listed == Removed && n.name != ""
+		return !n.leaving
+	})
+}
+
+// countLeg counts legs of this director at a node.
+func (d *Director) countLeg(n *node, more int) {
+	n.legs += more
+	d.gauge.legs += more
 }
 
 // Placing.
@@ -288,7 +299,7 @@
 	d.do(Dispatch{s.ID, n.name, within})
 	s.phase, s.sent, s.suspected = setting, d.now, false
 	d.sit(s)
-	n.legs++
+	d.countLeg(n, 1)
 	n.outs++
 	d.warmth.sent(n, d.now)
 	d.carry(s, rung)
@@ -300,10 +311,10 @@
 // come last, for a paid session only where all are: trouble that strikes all is not theirs.
 func (d *Director) choose(s *session, t *Tariff) int {
 	var roomy, aside []int
-	well, least, cells := 0, d.rungs.rate(s, t.Floor), d.gauge.fleet.Cells
-	for i := range d.nodes {
+	well, least := 0, d.rungs.rate(s, t.Floor)
+	for _, i := range d.index.holders(s.Base, s.Copies) {
 		n := &d.nodes[i]
-		if n.name == "" || n.listed != Up || (n.cell+cells-s.Base%cells)%cells >= s.Copies {
+		if n.listed != Up {
 			continue
 		}
 		may := n.health.may(n.outs, t.Paid, d.now)
@@ -509,6 +520,7 @@
 	n, more := &d.nodes[s.node], rate-s.carried
 	n.own += more
 	d.gauge.racks[n.rack].own += more
+	d.gauge.own += more
 	d.gauge.count(n, more, more)
 	s.carried = rate
 }
@@ -560,7 +572,7 @@
 		} else {
 			d.gauge.heardUplink(n, e.Value, d.now-late)
 		}
-		d.gauge.fairRates(n.rack, d.nodes)
+		d.fairRates(n.rack)
 	}
 }
 
@@ -692,18 +704,10 @@
 
 // fairRates computes the fair rate of every node of a rack. A stream's usual rate is that of this
 // director's own sessions, of which the middle rung's counts as one.
-func (g *gauge) fairRates(r int, nodes []node) {
-	var members []*node
-	own, legs, total := g.middle, 1.0, 0.0
-	for i := range nodes {
-		n := &nodes[i]
-		own += n.own
-		legs += float64(n.legs)
-		if n.name != "" && n.rack == r {
-			members = append(members, n)
-		}
-	}
-	g.usual = own / legs
+func (d *Director) fairRates(r int) {
+	g := &d.gauge
+	g.usual = (g.middle + g.own) / float64(1+g.legs)
+	members, total := d.index.inRack(r, d.nodes), 0.0
 	for _, n := range members {
 		n.streams = g.streams(n)
 		total += n.streams
@@ -741,9 +745,10 @@
 const sameBirth = 100 * time.Millisecond
 
 func (d *Director) roster(e Roster) {
-	for i := range d.nodes {
-		if e.Kind == Replace || e.Kind == Restored { // the whole list: who is not named is gone
+	if e.Kind == Replace || e.Kind == Restored { // the whole list: who is not named is gone
+		for i := range d.nodes {
 			d.nodes[i].listed = Removed
+			d.index.left(i, &d.nodes[i])
 		}
 	}
 	for _, x := range e.Entries {
@@ -764,20 +769,27 @@
 			n.health, n.doubted, n.warmAt = health{}, -1, 0
 			n.use, n.reported, n.shortAt = meter{of: LongAgo / 2}, -1, -rescoreEvery
 		}
+		if known {
+			d.index.remove(i, n)
+		}
 		n.listed, n.zone, n.cell, n.kind, n.born = x.State, x.Zone, x.Cell, x.Kind, x.Born
 		d.gauge.racks[n.rack].own -= n.own
 		n.rack = x.Cell % len(d.gauge.racks)
 		d.gauge.racks[n.rack].own += n.own
+		d.index.add(i, n)
+		if n.listed == Removed {
+			d.index.left(i, n)
+		}
 		n.size = d.gauge.fleet.LinkUnit * x.Weight
 		if n.size <= 0 {
 			n.size = max(1, d.gauge.fleet.LinkUnit)
 		}
 	}
-	for i := range d.nodes {
+	for _, i := range d.index.leaving {
 		d.dropNode(i)
 	}
 	for r := range d.gauge.racks {
-		d.gauge.fairRates(r, d.nodes)
+		d.fairRates(r)
 	}
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -114,6 +114,7 @@
 type node struct {
 	name       string // empty: the place is free
 	listed     NodeState
+	leaving    bool // it is among those that were taken off the list
 	zone       string
 	cell       int
 	rack       int
@@ -235,6 +236,8 @@
 	uplinks   usual
 	spread    float64 // how far figures of links lie from it
 	told      bool    // uplink figures are told here
+	own       float64 // kB a second booked by this director, at all nodes
+	legs      int     // of this director, at all nodes
 }
 
 // settle lets an ended session go once no leg of it is out.
@@ -256,6 +259,7 @@
 	}
 	if n.listed == Removed && n.legs == 0 {
 		d.names.leave(n.name)
+		d.index.remove(i, n)
 		*n = node{}
 	}
 }
