A list change and a dial cost what they concern, not the number of servers

Cause: each change of the list sorted and looked at all servers in the director's loop, and each connection made on need looked at all of them for one to give up. Change: a change looks at the servers it names, a dial at the connections there are.

--- a/internal/director/nodes.go
+++ b/internal/director/nodes.go
@@ -98,7 +98,7 @@
 // roomForLink asks the limits for one more connection to a node.
 func (l *Loop) roomForLink() bool {
 	var spare *node // the one that has had nothing to do for longest
-	for _, n := range l.nodes {
+	for _, n := range l.links {
 		if n.up && !n.needs && !n.trying && n.old == 0 && l.pace.OnNeed &&
 			(spare == nil || n.used < spare.used || n.used == spare.used && n.name < spare.name) {
 			spare = n
@@ -504,7 +504,7 @@
 		roster.Entries = append(roster.Entries, l.entry(e))
 	}
 	l.tell(roster)
-	for _, n := range sorted(l.nodes) {
+	for _, n := range sorted(l.concerned(m)) {
 		if !n.open {
 			l.recall(n)
 		}
@@ -513,6 +513,20 @@
 	l.do(TellList{wire.List{Type: wire.Heard, Director: l.name, Serial: m.Serial}})
 }
 
+// concerned are the nodes that a list may have changed.
+func (l *Loop) concerned(m wire.List) map[string]*node {
+	if m.Type == wire.Whole {
+		return l.nodes
+	}
+	nodes := make(map[string]*node, len(m.Nodes))
+	for _, e := range m.Nodes {
+		if n := l.nodes[e.Node]; n != nil {
+			nodes[e.Node] = n
+		}
+	}
+	return nodes
+}
+
 // titleID is a title's number for the module: the same for as long as anyone may hold a seat of it.
 func titleID(name string) uint64 {
 	h := fnv.New64a()
