TestNeverReaderIsReset: its peer's window no longer shrinks; an orderly close is bounded

Looked at: the connections' state at that moment. The director had read 764 requests and waited for more; its peer held 3.8 MB unsent in RTO backoff. The test shrank its peer's receive buffer after connecting, so the kernel dropped what had been sent into the window of before, with the acknowledgements in it, and both kernels waited for each other. Found beside it: an orderly close of a connection whose peer reads nothing left the kernel waiting for minutes; it is now bounded by the write time-out (TCP_USER_TIMEOUT).

--- a/internal/daemon/limits_test.go
+++ b/internal/daemon/limits_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/gobwas/ws"
+	"golang.org/x/sys/unix"
 
 	"fordusher/internal/transport"
 	"fordusher/internal/wire"
@@ -154,12 +155,16 @@
 // wait in the kernel behind what the player does not read, and so would what is unsent.
 func TestNeverReaderIsReset(t *testing.T) {
 	p := open(t, 1, `"inbox": 64`, `"inbox": 1000000`)
-	c, err := net.Dial("tcp", p.d.Address())
+	// Set before it connects: a window that shrinks afterwards makes the kernel drop what the director has sent into it,
+	// the acknowledgements in it included, and at times both sides then wait for each other.
+	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 4<<10) })
+	}}
+	c, err := dialer.Dial("tcp", p.d.Address())
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer c.Close()
-	c.(*net.TCPConn).SetReadBuffer(4 << 10)
 	io.WriteString(c, shake)
 	time.Sleep(100 * ms) // the handshake has to be answered before anything else comes
 	ask := ws.MustCompileFrame(ws.MaskFrame(ws.NewTextFrame(wire.Encode(wire.Session{Type: wire.Want, ID: "1", Tariff: "clip", Title: "none", Key: "k", Wait: 1000}))))
--- a/internal/transport/close.go
+++ b/internal/transport/close.go
@@ -67,6 +67,9 @@
 	c.why = why
 	// Where there is no close frame to write the connection is closed at once: what comes from now on isn't read.
 	nothingToWrite := !c.shook || c.split != nil && !c.writing
+	if nothingToWrite && c.usable {
+		c.boundClose()
+	}
 	c.mu.Unlock()
 	if nothingToWrite {
 		c.np.Close()
--- a/internal/transport/memory.go
+++ b/internal/transport/memory.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"time"
 )
 
 // Network carries connections in memory, for loads that no machine has descriptors for. Everything above
@@ -74,6 +75,8 @@
 
 func (m *memory) reset() {}
 
+func (m *memory) closeWithin(time.Duration) {}
+
 func (m *memory) Close() error { return m.conn.closed(nil) }
 
 // Attach adds a connection in memory, as from an address; what the server writes goes to out, from the
--- a/internal/transport/write.go
+++ b/internal/transport/write.go
@@ -27,6 +27,8 @@
 	write(p []byte) (int, error)
 	// reset makes the close that follows a reset. It is called as write is.
 	reset()
+	// closeWithin bounds how long what was written may take to reach the peer after the close. It is called as write is.
+	closeWithin(most time.Duration)
 }
 
 // socket is a carrier over TCP. Netpoll reads; what is written goes to the descriptor directly.
@@ -54,6 +56,8 @@
 
 func (s socket) reset() { setLinger(s.descriptor) }
 
+func (s socket) closeWithin(most time.Duration) { setUserTimeout(s.descriptor, most) }
+
 type frame struct {
 	tag     uint64
 	advice  uint64
@@ -158,6 +162,14 @@
 	return true
 }
 
+// boundClose makes the kernel give up on a peer that takes nothing, after the write time-out. It is called with the lock
+// held, before an orderly close.
+func (c *Conn) boundClose() {
+	if c.bounds.Write > 0 {
+		c.np.closeWithin(c.bounds.Write)
+	}
+}
+
 // Withdraw takes a tagged message out of the queue. It says true if not one byte of it was handed to
 // the kernel, and none ever will be.
 func (c *Conn) Withdraw(tag uint64) bool {
@@ -228,6 +240,7 @@
 		c.writing = false
 		c.queue = nil
 		if c.last && c.why != nil {
+			c.boundClose()
 			go c.np.Close() // the handler's Closed may want this lock
 		}
 		return nothingWritten, true, nil
