--- a/internal/director/town_test.go
+++ b/internal/director/town_test.go
@@ -201,7 +201,7 @@
 			}
 		}
 	case Welcome:
-		p.do(PlayerOpened{o.Conn})
+		p.do(PlayerOpened(o))
 	case TurnAway:
 		p.conns = slices.DeleteFunc(p.conns, func(x uint64) bool { return x == o.Conn })
 	case ClosePlayer:
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -154,7 +154,7 @@
 			raw := wire.Encode(o.Message)
 			p.send(at, playerWay(o.Conn), func(at time.Duration) { w.playerHears(at, o.Conn, raw) })
 		case director.Welcome:
-			p.hear(at, director.PlayerOpened{Conn: o.Conn})
+			p.hear(at, director.PlayerOpened(o))
 			p.send(at, playerWay(o.Conn), func(at time.Duration) { w.welcome(at, o.Conn) })
 		case director.TurnAway:
 			p.send(at, playerWay(o.Conn), func(at time.Duration) { w.playerClosed(at, o.Conn, "turned away", witness.ByPeer) })
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -15,8 +15,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"github.com/gobwas/ws"
 )
 
 // A Handler takes what happens on connections. For one connection its calls come one after another,
@@ -54,16 +52,15 @@
 	number  atomic.Uint64
 
 	// Only the reading worker touches these.
-	open     bool
-	partial  []byte // an incomplete head or frame; nil while idle
-	message  []byte // fragments so far
-	fragment ws.OpCode
-	half     bool
-	pinged   bool
-	ping     []byte      // of the last ping that is not answered yet
-	moved    bool        // a message that frames itself has come whole since the last look
-	begun    *time.Timer // runs while a message that frames itself has come in part
-	deaf     atomic.Bool // nothing more is read: what comes is dropped
+	open    bool
+	partial []byte // an incomplete head or frame; nil while idle
+	message []byte // fragments so far
+	half    bool
+	pinged  bool
+	ping    []byte      // of the last ping that is not answered yet
+	moved   bool        // a message that frames itself has come whole since the last look
+	begun   *time.Timer // runs while a message that frames itself has come in part
+	deaf    atomic.Bool // nothing more is read: what comes is dropped
 
 	once    sync.Once
 	mu      sync.Mutex
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -18,7 +19,6 @@
 type echo struct {
 	mu     sync.Mutex
 	got    []string
-	whys   []error
 	unsent []uint64
 	opened chan *Conn
 	closed chan error
@@ -119,7 +119,7 @@
 	}
 	skipHead(t, r)
 	for _, want := range []ws.OpCode{ws.OpPong, ws.OpText} {
-		f, err := ws.ReadFrame(r)
+		f, err := readFrame(r)
 		if err != nil || f.Header.OpCode != want || want == ws.OpText && string(f.Payload) != "hey" {
 			t.Fatal(f, err)
 		}
@@ -150,7 +150,7 @@
 	} {
 		_, r := raw(t, s, shake+c.bytes)
 		skipHead(t, r)
-		f, err := ws.ReadFrame(r)
+		f, err := readFrame(r)
 		if err != nil {
 			t.Fatalf("%s: %v", name, err)
 		}
@@ -159,7 +159,7 @@
 		}
 	}
 	io.WriteString(other, masked(ws.OpText, true, "still here"))
-	if f, err := ws.ReadFrame(ro); err != nil || string(f.Payload) != "still here" {
+	if f, err := readFrame(ro); err != nil || string(f.Payload) != "still here" {
 		t.Fatal(f, err)
 	}
 }
@@ -228,7 +228,7 @@
 		t.Fatal("withdrawal")
 	}
 	go c.write()
-	if f, err := ws.ReadFrame(r); err != nil || string(f.Payload) != "b" {
+	if f, err := readFrame(r); err != nil || string(f.Payload) != "b" {
 		t.Fatal(f, err)
 	}
 	if c.Withdraw(8) {
@@ -365,3 +365,19 @@
 		}
 	}
 }
+
+// frameMost is more than any frame that a test waits for.
+const frameMost = 64 << 10
+
+// readFrame reads a frame that a connection has written, of a bounded size.
+func readFrame(r io.Reader) (f ws.Frame, err error) {
+	if f.Header, err = ws.ReadHeader(r); err != nil {
+		return f, err
+	}
+	if f.Header.Length > frameMost {
+		return f, fmt.Errorf("a frame of %d bytes", f.Header.Length)
+	}
+	f.Payload = make([]byte, f.Header.Length)
+	_, err = io.ReadFull(r, f.Payload)
+	return f, err
+}
--- a/internal/witness/check.go
+++ b/internal/witness/check.go
@@ -101,7 +101,6 @@
 	excused  time.Duration // no answer is owed since then; 0: it is
 	repeats  int
 	session  string
-	legs     []*leg
 }
 
 type legKey struct {
--- a/policy/world_test.go
+++ b/policy/world_test.go
@@ -40,13 +40,12 @@
 
 type owed struct {
 	Demand
-	node      string // of the leg out
-	plays     bool
-	ran       bool
-	legs      int
-	answered  bool
-	by        time.Duration
-	startedAt time.Duration
+	node     string // of the leg out
+	plays    bool
+	ran      bool
+	legs     int
+	answered bool
+	by       time.Duration
 }
 
 func pick[V any](t *rapid.T, label string, values ...V) V {
