--- a/internal/daemon/clients.go
+++ b/internal/daemon/clients.go
@@ -9,15 +9,15 @@
 )
 
 // refuse answers a request for which there is no room in the inbox. The loop never hears of it, so it has never run.
-func (d *Daemon) refuse(c *transport.Conn, in director.PlayerSaid) {
+func (d *Daemon) refuse(c *transport.Conn, in director.ClientReceived) {
 	d.overfull.Add(1)
-	c.Send(d.front.ToPlayer(director.TellPlayer{Message: wire.Session{
+	c.Send(d.front.ToPlayer(director.SendClient{Message: wire.Session{
 		Type: wire.Nack, ID: in.Message.ID, Backoff: d.house.Queue.Retry.Milliseconds(), Why: "too many requests at once"}}), 0)
 }
 
 type players struct{ d *Daemon }
 
-func (h players) Knock(c *transport.Conn) {
+func (h players) Connecting(c *transport.Conn) {
 	p := &peer{number: h.d.lastConn.Add(1)}
 	c.SetCookie(p)
 	var from netip.Addr
@@ -27,11 +27,11 @@
 		from = a.Addr().Unmap()
 	}
 	p.pending.Add(1)
-	h.d.inbox.stand(item{in: director.PlayerKnocked{Conn: p.number, Address: from}, conn: c, peer: p})
+	h.d.inbox.stand(item{in: director.ClientConnecting{Conn: p.number, Address: from}, conn: c, peer: p})
 }
 
 func (h players) Opened(c *transport.Conn) {
-	h.d.inbox.put(item{in: director.PlayerOpened{Conn: c.Cookie().(*peer).number}})
+	h.d.inbox.put(item{in: director.ClientAccepted{Conn: c.Cookie().(*peer).number}})
 }
 
 func (h players) Message(c *transport.Conn, raw []byte) {
@@ -77,6 +77,6 @@
 func (h players) Closed(c *transport.Conn, why error, _ []uint64) {
 	if p, ok := c.Cookie().(*peer); ok {
 		p.left.Store(true)
-		h.d.inbox.close(item{in: director.PlayerClosed{Conn: p.number, Reason: clip(why.Error())}, peer: p}, h.d.house.Manners.Linger > 0)
+		h.d.inbox.close(item{in: director.ClientLost{Conn: p.number, Reason: clip(why.Error())}, peer: p}, h.d.house.Manners.Linger > 0)
 	}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -79,7 +79,7 @@
 		return nil, err
 	}
 	if len(house.Nodes) > 0 || len(house.Titles) > 0 { // until the list's source is heard, if there is one
-		d.inbox.put(item{in: director.ListSaid{Message: wire.List{Type: wire.Whole, Nodes: house.Nodes, Titles: house.Titles}}})
+		d.inbox.put(item{in: director.DiscoveryReceived{Message: wire.List{Type: wire.Whole, Nodes: house.Nodes, Titles: house.Titles}}})
 	}
 	d.loop.Observe(d.logEvent)
 	go d.run()
@@ -168,23 +168,23 @@
 		i.peer.pending.Add(-1)
 	}
 	switch e := i.in.(type) {
-	case director.PlayerSaid:
+	case director.ClientReceived:
 		if d.house.Manners.Linger == 0 && asks(e) && (i.peer.left.Load() || d.inbox.undone(i.peer, e.Message.ID)) {
 			return false // who left while the request waited here is owed nothing, and nothing is begun for it
 		}
 		e.Waited = time.Since(d.pauses.sent(i.came))
 		i.in = e
-	case director.PlayerKnocked:
+	case director.ClientConnecting:
 		d.players[e.Conn] = i.conn
-	case director.PlayerClosed:
+	case director.ClientLost:
 		delete(d.players, e.Conn)
-	case director.LinkMade:
+	case director.LinkConnected:
 		d.links[e.Link] = i.conn
 	case director.LinkLost:
 		delete(d.links, e.Link)
-	case director.ListOpened:
+	case director.DiscoveryConnected:
 		d.list = i.conn
-	case director.ListLost:
+	case director.DiscoveryLost:
 		d.list = nil
 	}
 	return d.carryOut(d.loop.Step(d.now(), i.in))
@@ -195,7 +195,7 @@
 	var stay []uint64
 	for _, o := range outs {
 		switch o := o.(type) {
-		case director.TellPlayer:
+		case director.SendClient:
 			c, raw := d.players[o.Conn], d.front.ToPlayer(o)
 			if c == nil || raw == nil {
 			} else if o.Message.Type == wire.Rung { // advice: the next one makes it worthless
@@ -203,15 +203,15 @@
 			} else {
 				c.Send(raw, 0)
 			}
-		case director.Welcome:
+		case director.AcceptClient:
 			if c := d.players[o.Conn]; c != nil {
-				c.Welcome()
+				c.Accept()
 			}
-		case director.TurnAway:
+		case director.RejectClient:
 			if c := d.players[o.Conn]; c != nil {
-				c.TurnAway(o.Retry, o.Why)
+				c.Reject(o.Retry, o.Why)
 			}
-		case director.ClosePlayer:
+		case director.CloseClient:
 			if c := d.players[o.Conn]; c == nil {
 			} else if p, ok := c.Cookie().(*peer); ok && o.Idle && p.pending.Load() > 0 {
 				stay = append(stay, o.Conn)
@@ -220,7 +220,7 @@
 			} else {
 				c.Close(ws.StatusCode(o.Code), o.Why)
 			}
-		case director.TellNode:
+		case director.SendServer:
 			c := d.links[o.Link]
 			switch {
 			case o.Setup == 0 && c != nil:
@@ -232,23 +232,23 @@
 			if c := d.links[o.Link]; c != nil && c.Withdraw(o.Leg) {
 				d.inbox.put(item{in: director.Withdrawn{Leg: o.Leg}})
 			}
-		case director.AskAlive:
+		case director.ProbeLink:
 			if c := d.links[o.Link]; c != nil {
 				c.Ping()
 				d.inbox.put(item{in: director.LinkAlive{Link: o.Link, Quiet: c.Quiet()}})
 			}
-		case director.AskPlayerAlive:
+		case director.ProbeClient:
 			if c := d.players[o.Conn]; c != nil {
 				c.Ping()
-				d.inbox.put(item{in: director.PlayerAlive{Conn: o.Conn, Quiet: c.Quiet()}})
+				d.inbox.put(item{in: director.ClientAlive{Conn: o.Conn, Quiet: c.Quiet()}})
 			}
-		case director.HangUp:
+		case director.CloseLink:
 			if c := d.links[o.Link]; c != nil {
 				c.Cut()
 			}
 		case director.Connect:
 			go d.connect(o)
-		case director.TellList:
+		case director.SendDiscovery:
 			if d.list != nil {
 				if raw := d.front.ToList(o.Message); raw != nil {
 					d.list.Send(raw, 0)
@@ -263,7 +263,7 @@
 		}
 	}
 	for _, conn := range stay { // before what it said is taken
-		ended = d.carryOut(d.loop.Step(d.now(), director.PlayerStays{Conn: conn})) || ended
+		ended = d.carryOut(d.loop.Step(d.now(), director.ClientStays{Conn: conn})) || ended
 	}
 	return ended
 }
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -349,7 +349,7 @@
 func TestInboxOrder(t *testing.T) {
 	b := inbox{wake: make(chan struct{}, 1)}
 	for i := range 5000 {
-		b.stand(item{in: director.PlayerSaid{Conn: uint64(i)}, peer: &peer{}})
+		b.stand(item{in: director.ClientReceived{Conn: uint64(i)}, peer: &peer{}})
 	}
 	var batch []item
 	next := uint64(0)
@@ -360,7 +360,7 @@
 			t.Fatalf("round %d begins with %+v of %d", round, batch[0], len(batch))
 		}
 		for _, i := range batch[1:] {
-			if got := i.in.(director.PlayerSaid).Conn; got != next {
+			if got := i.in.(director.ClientReceived).Conn; got != next {
 				t.Fatalf("%d comes before %d", got, next)
 			}
 			next++
@@ -377,10 +377,10 @@
 	greedy, modest := []*peer{{number: 1}, {number: 2}}, &peer{number: 3}
 	for i := range 500 {
 		for _, p := range greedy {
-			b.stand(item{in: director.PlayerClosed{Conn: uint64(i)}, peer: p})
+			b.stand(item{in: director.ClientLost{Conn: uint64(i)}, peer: p})
 		}
 	}
-	b.stand(item{in: director.PlayerClosed{}, peer: modest})
+	b.stand(item{in: director.ClientLost{}, peer: modest})
 	taken := b.take(nil)
 	if at := slices.IndexFunc(taken, func(i item) bool { return i.peer == modest }); at < 0 || at > len(greedy) {
 		t.Fatal("the modest one's turn is", at, "of", len(taken))
@@ -388,7 +388,7 @@
 	next := map[*peer]uint64{}
 	for ; len(taken) > 0; taken = b.take(nil) {
 		for _, i := range taken {
-			if c := i.in.(director.PlayerClosed).Conn; c != next[i.peer] {
+			if c := i.in.(director.ClientLost).Conn; c != next[i.peer] {
 				t.Fatalf("player %d: %d comes before %d", i.peer.number, c, next[i.peer])
 			}
 			next[i.peer]++
--- a/internal/daemon/discovery.go
+++ b/internal/daemon/discovery.go
@@ -75,7 +75,7 @@
 }
 
 func (h *source) Opened(c *transport.Conn) {
-	h.d.inbox.put(item{in: director.ListOpened{}, conn: c})
+	h.d.inbox.put(item{in: director.DiscoveryConnected{}, conn: c})
 }
 
 func (h *source) Message(c *transport.Conn, raw []byte) {
@@ -85,11 +85,11 @@
 		return
 	}
 	if m.Type != "" {
-		h.d.hand(c, &h.peer, director.ListSaid{Message: m})
+		h.d.hand(c, &h.peer, director.DiscoveryReceived{Message: m})
 	}
 }
 
 func (h *source) Closed(*transport.Conn, error, []uint64) {
-	h.d.inbox.put(item{in: director.ListLost{}})
+	h.d.inbox.put(item{in: director.DiscoveryLost{}})
 	close(h.gone)
 }
--- a/internal/daemon/front.go
+++ b/internal/daemon/front.go
@@ -19,13 +19,13 @@
 
 	// FromPlayer and FromNode read a message. What is read has no type where it is nothing to the loop; a reply, if
 	// there is one, goes out at once. An error ends the connection.
-	FromPlayer(raw []byte) (in director.PlayerSaid, reply []byte, err error)
-	FromNode(raw []byte) (in director.LinkSaid, reply []byte, err error)
+	FromPlayer(raw []byte) (in director.ClientReceived, reply []byte, err error)
+	FromNode(raw []byte) (in director.LinkReceived, reply []byte, err error)
 	FromList(raw []byte) (wire.List, error)
 
 	// What the protocol has no words for is nil.
-	ToPlayer(o director.TellPlayer) []byte
-	ToNode(o director.TellNode) []byte
+	ToPlayer(o director.SendClient) []byte
+	ToNode(o director.SendServer) []byte
 	ToList(m wire.List) []byte
 }
 
@@ -44,20 +44,20 @@
 	return transport.Dial(address, wire.ListProtocol, within, f.house.Door.List, h, nil)
 }
 
-func (sockets) FromPlayer(raw []byte) (in director.PlayerSaid, reply []byte, err error) {
+func (sockets) FromPlayer(raw []byte) (in director.ClientReceived, reply []byte, err error) {
 	in.Message, err = wire.DecodeSession(raw)
 	return in, nil, err
 }
 
-func (sockets) FromNode(raw []byte) (in director.LinkSaid, reply []byte, err error) {
+func (sockets) FromNode(raw []byte) (in director.LinkReceived, reply []byte, err error) {
 	in.Message, err = wire.DecodeNode(raw)
 	return in, nil, err
 }
 
 func (sockets) FromList(raw []byte) (wire.List, error) { return wire.DecodeList(raw) }
 
-func (sockets) ToPlayer(o director.TellPlayer) []byte { return wire.Encode(o.Message) }
+func (sockets) ToPlayer(o director.SendClient) []byte { return wire.Encode(o.Message) }
 
-func (sockets) ToNode(o director.TellNode) []byte { return wire.Encode(o.Message) }
+func (sockets) ToNode(o director.SendServer) []byte { return wire.Encode(o.Message) }
 
 func (sockets) ToList(m wire.List) []byte { return wire.Encode(m) }
--- a/internal/daemon/inbox.go
+++ b/internal/daemon/inbox.go
@@ -64,7 +64,7 @@
 		b.line = append(b.line, i.peer)
 		i.peer.lined = true
 	}
-	if e, ok := i.in.(director.PlayerSaid); ok && len(i.peer.undone) > 0 { // what was cancelled came before this
+	if e, ok := i.in.(director.ClientReceived); ok && len(i.peer.undone) > 0 { // what was cancelled came before this
 		i.peer.undone = slices.DeleteFunc(i.peer.undone, func(id string) bool { return id == e.Message.ID })
 	}
 	i.peer.said = append(i.peer.said, i)
@@ -117,7 +117,7 @@
 	b.mu.Lock()
 	stands := false
 	for k, x := range i.peer.said {
-		e, ok := x.in.(director.PlayerSaid)
+		e, ok := x.in.(director.ClientReceived)
 		if ok && e.Message.ID == id && asks(e) {
 			i.peer.said = slices.Delete(i.peer.said, k, k+1)
 			b.stood--
@@ -160,7 +160,7 @@
 	if !owed {
 		stood := len(p.said)
 		p.said = slices.DeleteFunc(p.said, func(x item) bool {
-			said, ok := x.in.(director.PlayerSaid)
+			said, ok := x.in.(director.ClientReceived)
 			return ok && asks(said)
 		})
 		b.stood -= stood - len(p.said)
@@ -180,7 +180,7 @@
 }
 
 // asks tells whether a player asks for a session that does not play yet.
-func asks(e director.PlayerSaid) bool {
+func asks(e director.ClientReceived) bool {
 	return e.Message.Type == wire.Want && (e.Brought == nil || e.Brought.Playing == "")
 }
 
--- a/internal/daemon/inbox_test.go
+++ b/internal/daemon/inbox_test.go
@@ -16,24 +16,24 @@
 // said is what a player says of a request; a request that brings a node plays there already.
 func said(p *peer, kind, id, playing string) item {
 	p.pending.Add(1)
-	return item{peer: p, in: director.PlayerSaid{Conn: p.number, Message: wire.Session{Type: kind, ID: id},
+	return item{peer: p, in: director.ClientReceived{Conn: p.number, Message: wire.Session{Type: kind, ID: id},
 		Brought: &director.Brought{Playing: playing}}}
 }
 
 func knocked(p *peer) item {
 	p.pending.Add(1)
-	return item{peer: p, in: director.PlayerKnocked{Conn: p.number}}
+	return item{peer: p, in: director.ClientConnecting{Conn: p.number}}
 }
 
 // words tells what was taken in a few letters each.
 func words(items []item) (all []string) {
 	for _, i := range items {
 		switch e := i.in.(type) {
-		case director.PlayerKnocked:
+		case director.ClientConnecting:
 			all = append(all, fmt.Sprintf("%d knocks", e.Conn))
-		case director.PlayerSaid:
+		case director.ClientReceived:
 			all = append(all, fmt.Sprintf("%d %s %s", e.Conn, e.Message.Type, e.Message.ID))
-		case director.PlayerClosed:
+		case director.ClientLost:
 			all = append(all, fmt.Sprintf("%d closed", e.Conn))
 		}
 	}
@@ -64,26 +64,26 @@
 		"closed in line": {func(b *inbox, p *peer) {
 			b.stand(said(p, wire.Want, "a", ""))
 			b.stand(said(p, wire.Want, "b", ""))
-			b.close(item{in: director.PlayerClosed{Conn: 1}, peer: p}, false)
+			b.close(item{in: director.ClientLost{Conn: 1}, peer: p}, false)
 		}, []string{"1 closed"}},
 		"closed before it was let in": {func(b *inbox, p *peer) {
 			b.stand(knocked(p))
 			b.stand(said(p, wire.Want, "a", ""))
-			b.close(item{in: director.PlayerClosed{Conn: 1}, peer: p}, false)
+			b.close(item{in: director.ClientLost{Conn: 1}, peer: p}, false)
 		}, []string{"1 knocks", "1 closed"}},
 		"an ending keeps its place behind the knock": {func(b *inbox, p *peer) {
 			b.stand(knocked(p))
 			b.cancel(said(p, wire.Leave, "a", ""), "a")
-			b.close(item{in: director.PlayerClosed{Conn: 1}, peer: p}, false)
+			b.close(item{in: director.ClientLost{Conn: 1}, peer: p}, false)
 		}, []string{"1 knocks", "1 leave a", "1 closed"}},
 		"what plays is handed over first": {func(b *inbox, p *peer) {
 			b.stand(said(p, wire.Want, "a", "s-1"))
 			b.cancel(said(p, wire.Leave, "a", ""), "a")
-			b.close(item{in: director.PlayerClosed{Conn: 1}, peer: p}, false)
+			b.close(item{in: director.ClientLost{Conn: 1}, peer: p}, false)
 		}, []string{"1 want a", "1 leave a", "1 closed"}},
 		"who may come again is still owed": {func(b *inbox, p *peer) {
 			b.stand(said(p, wire.Want, "a", ""))
-			b.close(item{in: director.PlayerClosed{Conn: 1}, peer: p}, true)
+			b.close(item{in: director.ClientLost{Conn: 1}, peer: p}, true)
 		}, []string{"1 want a", "1 closed"}},
 	} {
 		b, p := newInbox(), &peer{number: 1}
@@ -157,7 +157,7 @@
 				if i.peer != nil {
 					i.peer.pending.Add(-1)
 				}
-				e, ok := i.in.(director.PlayerSaid)
+				e, ok := i.in.(director.ClientReceived)
 				if !ok || e.Message.Type != wire.Want {
 					continue
 				}
@@ -186,7 +186,7 @@
 			default:
 				left[k] = true
 				clear(waiting[k])
-				b.close(item{in: director.PlayerClosed{Conn: p.number}, peer: p}, false)
+				b.close(item{in: director.ClientLost{Conn: p.number}, peer: p}, false)
 			}
 		}
 		for b.waits() > 0 || len(b.first) > 0 {
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -29,7 +29,7 @@
 }
 
 func (h *link) Opened(c *transport.Conn) {
-	h.d.inbox.put(item{in: director.LinkMade{Node: h.node, Link: h.peer.number}, conn: c})
+	h.d.inbox.put(item{in: director.LinkConnected{Node: h.node, Link: h.peer.number}, conn: c})
 }
 
 // Expired says that a set-up was not written in time, and never will be.
--- a/internal/director/answer.go
+++ b/internal/director/answer.go
@@ -25,7 +25,7 @@
 		r.answer = answer
 	}
 	l.requestEvent(RequestAnswered, s, answer.Type+" "+answer.Why)
-	l.do(TellPlayer{Conn: s.conn.number, Message: *answer, Description: description})
+	l.do(SendClient{Conn: s.conn.number, Message: *answer, Description: description})
 }
 
 func (l *Loop) nack(s *session, backoff time.Duration, why string) {
@@ -49,7 +49,7 @@
 func (l *Loop) tellPlays(s *session) {
 	answer := l.plays(s)
 	s.conn.requests[s.request].answer = &answer
-	l.do(TellPlayer{Conn: s.conn.number, Message: answer})
+	l.do(SendClient{Conn: s.conn.number, Message: answer})
 }
 
 // answerOverdue gives a session the answer that its time leaves. The module answers before; this holds
--- a/internal/director/attempt.go
+++ b/internal/director/attempt.go
@@ -90,7 +90,7 @@
 	l.moveLeg(g, legSent)
 	g.link, g.node.used = g.node.link, l.now
 	l.attemptEvent(AttemptSent, g, "")
-	l.do(TellNode{Link: g.link, Setup: g.id, Message: wire.Node{
+	l.do(SendServer{Link: g.link, Setup: g.id, Message: wire.Node{
 		Type: wire.Setup, Leg: g.id, Session: s.name, Tariff: l.tariffs[s.tariff].Name, Title: s.title,
 		Rung: s.rung, Rate: l.rateOf(s), Within: max(1, (g.stop - l.now).Milliseconds()), Length: s.length.Milliseconds(),
 	}, Description: s.description})
@@ -110,7 +110,7 @@
 		l.tellRung(g)
 	}
 	if s.phase == playing && s.conn != nil {
-		l.do(TellPlayer{Conn: s.conn.number, Merge: s.id,
+		l.do(SendClient{Conn: s.conn.number, Merge: s.id,
 			Message: wire.Session{Type: wire.Rung, ID: s.request, Session: s.name, Rung: s.rung}})
 	}
 }
@@ -118,7 +118,7 @@
 func (l *Loop) tellRung(g *leg) {
 	if g.unrung = !g.node.up; !g.unrung { // else once there is a connection
 		s := g.session
-		l.do(TellNode{Link: g.node.link, Message: wire.Node{Type: wire.Rung, Leg: g.id, Session: s.name, Rung: s.rung, Rate: l.rateOf(s)}})
+		l.do(SendServer{Link: g.node.link, Message: wire.Node{Type: wire.Rung, Leg: g.id, Session: s.name, Rung: s.rung, Rate: l.rateOf(s)}})
 	}
 }
 
--- a/internal/director/bench_test.go
+++ b/internal/director/bench_test.go
@@ -24,7 +24,7 @@
 		}
 		conn := uint64(1 + sessions)
 		s.enter(conn)
-		s.do(PlayerSaid{Conn: conn, Message: wire.Session{Type: wire.Want, ID: "1", Tariff: "clip", Title: "t", Key: fmt.Sprint("key-", conn), Wait: 5000, Length: 60_000}})
+		s.do(ClientReceived{Conn: conn, Message: wire.Session{Type: wire.Want, ID: "1", Tariff: "clip", Title: "t", Key: fmt.Sprint("key-", conn), Wait: 5000, Length: 60_000}})
 		for _, g := range s.setups() {
 			s.do(said(g, wire.Accepted))
 		}
--- a/internal/director/client.go
+++ b/internal/director/client.go
@@ -44,7 +44,7 @@
 )
 
 // knocked asks the limits whether a player is let in.
-func (l *Loop) knocked(e PlayerKnocked) {
+func (l *Loop) knocked(e ClientConnecting) {
 	seat := int32(len(l.seats))
 	if n := len(l.unseated); n > 0 {
 		seat = l.unseated[n-1]
@@ -56,12 +56,12 @@
 			l.conns[e.Conn] = &conn{number: e.Conn, turned: true, leaving: true}
 			l.timers.Add(l.now+turnedFor, due{timerTurned, e.Conn})
 			if l.turned = append(l.turned, e.Conn); len(l.turned) > turnedMost { // the first of them has its answer by now
-				l.closeClient(ClosePlayer{Conn: l.turned[0], Code: 1013, Why: "no room", Idle: true})
+				l.closeClient(CloseClient{Conn: l.turned[0], Code: 1013, Why: "no room", Idle: true})
 				l.turned = l.turned[1:]
 			}
 			return
 		}
-		l.do(TurnAway{e.Conn, plan.Retry, plan.Why})
+		l.do(RejectClient{e.Conn, plan.Retry, plan.Why})
 		return
 	}
 	if n := len(l.unseated); n > 0 {
@@ -72,7 +72,7 @@
 	}
 	l.event(Event{Kind: ClientConnected, Conn: e.Conn})
 	l.conns[e.Conn] = &conn{number: e.Conn, seat: seat}
-	l.do(Welcome{e.Conn})
+	l.do(AcceptClient{e.Conn})
 }
 
 // limit tells the limits what happened and carries out their plan.
@@ -82,7 +82,7 @@
 		l.more = plan.More
 	}
 	for _, seat := range plan.Ping {
-		l.do(AskPlayerAlive{l.seats[seat]})
+		l.do(ProbeClient{l.seats[seat]})
 	}
 	for _, x := range plan.Let {
 		l.counts.LetGo++
@@ -90,7 +90,7 @@
 		if x.Retry > 0 {
 			why = fmt.Sprintf("retry-ms=%d %s", x.Retry.Milliseconds(), why)
 		}
-		closed := l.closeClient(ClosePlayer{Conn: l.seats[x.Conn], Code: x.Code, Why: why, Idle: x.Code != 1008})
+		closed := l.closeClient(CloseClient{Conn: l.seats[x.Conn], Code: x.Code, Why: why, Idle: x.Code != 1008})
 		if c := l.conns[l.seats[x.Conn]]; c != nil && closed {
 			c.leaving = true
 		}
@@ -116,7 +116,7 @@
 	}
 }
 
-func (l *Loop) playerSaid(e PlayerSaid) {
+func (l *Loop) playerSaid(e ClientReceived) {
 	c := l.conns[e.Conn]
 	if c == nil { // it closed a moment ago, or was not let in
 		if s := l.keys[e.Message.ID]; l.manners.Loose && e.Message.Type == wire.Leave && s != nil && s.answered {
@@ -145,7 +145,7 @@
 		if r != nil { // a repetition: answered as before, never taken twice
 			l.counts.Repeated++
 			if r.answer != nil {
-				l.do(TellPlayer{Conn: c.number, Message: *r.answer})
+				l.do(SendClient{Conn: c.number, Message: *r.answer})
 			}
 			return
 		}
@@ -160,7 +160,7 @@
 		}
 	default:
 		l.counts.BadWord++
-		l.closeClient(ClosePlayer{Conn: c.number, Code: 1008, Why: "players do not say " + m.Type})
+		l.closeClient(CloseClient{Conn: c.number, Code: 1008, Why: "players do not say " + m.Type})
 	}
 }
 
@@ -177,7 +177,7 @@
 	}
 }
 
-func (l *Loop) playerClosed(e PlayerClosed) {
+func (l *Loop) playerClosed(e ClientLost) {
 	number := e.Conn
 	c := l.conns[number]
 	if c == nil {
--- a/internal/director/closing_test.go
+++ b/internal/director/closing_test.go
@@ -25,7 +25,7 @@
 	s.asks(1, "a", "clip")
 	closed := false
 	for _, o := range s.all {
-		c, is := o.(ClosePlayer)
+		c, is := o.(CloseClient)
 		closed = closed || is && c.Conn == 1
 	}
 	if taken := s.loop.owed > 0 || len(s.setups()) > 0; taken && closed {
@@ -50,7 +50,7 @@
 	s.pass(30 * ms)
 	closes := func() (conns []uint64) {
 		for _, o := range s.all {
-			if c, is := o.(ClosePlayer); is {
+			if c, is := o.(CloseClient); is {
 				if !c.Idle {
 					t.Fatalf("connection %d is closed whatever was read on it", c.Conn)
 				}
@@ -62,16 +62,16 @@
 	if got := closes(); s.ended || len(got) != 2 {
 		t.Fatalf("ended %v, closed %v", s.ended, got)
 	}
-	s.do(PlayerClosed{Conn: 1})
+	s.do(ClientLost{Conn: 1})
 	s.forget()
-	s.do(PlayerStays{Conn: 2}) // a request was read on it, and comes now
+	s.do(ClientStays{Conn: 2}) // a request was read on it, and comes now
 	s.asks(2, "a", "clip")
 	s.oneAnswer(wire.Nack)
 	s.pass(50 * ms)
 	if got := closes(); s.ended || len(got) != 1 || got[0] != 2 {
 		t.Fatalf("ended %v, closed %v", s.ended, got)
 	}
-	s.do(PlayerClosed{Conn: 2})
+	s.do(ClientLost{Conn: 2})
 	s.pass(50 * ms)
 	if !s.ended {
 		t.Fatal("not ended though no client is left")
--- a/internal/director/connections.go
+++ b/internal/director/connections.go
@@ -114,11 +114,11 @@
 	l.linkLost(LinkLost{Link: link})
 }
 
-func (l *Loop) linkMade(e LinkMade) {
+func (l *Loop) linkMade(e LinkConnected) {
 	n := l.links[e.Link]
 	if n == nil || n.link != e.Link && n.check != e.Link {
 		l.event(Event{Kind: ServerDisconnected, Server: e.Node, Link: e.Link, Reason: string(closedAsUnknown)})
-		l.do(HangUp{e.Link})
+		l.do(CloseLink{e.Link})
 		return
 	}
 	if n.check == e.Link {
@@ -139,7 +139,7 @@
 		n.idle = l.timers.Add(l.now+l.pace.Keep, due{timerIdle, e.Link})
 	}
 	if !l.manners.Greetless {
-		l.do(TellNode{Link: e.Link, Message: wire.Node{Type: wire.Hello, Director: l.name}})
+		l.do(SendServer{Link: e.Link, Message: wire.Node{Type: wire.Hello, Director: l.name}})
 	}
 	l.reached(reach.Event{Node: n.place, What: reach.Made})
 	if n.dialled != n.address { // the list has moved it meanwhile
@@ -157,7 +157,7 @@
 		}
 	}
 	for _, m := range n.ends {
-		l.do(TellNode{Link: e.Link, Message: m})
+		l.do(SendServer{Link: e.Link, Message: m})
 	}
 	n.ends = nil
 	l.needed(n)
--- a/internal/director/deadlines.go
+++ b/internal/director/deadlines.go
@@ -74,7 +74,7 @@
 		l.reached(reach.Event{What: reach.Ring})
 	case timerPing:
 		if n := l.links[t.id]; n != nil && n.up && n.link == t.id {
-			l.do(AskAlive{t.id})
+			l.do(ProbeLink{t.id})
 			n.ping = l.timers.Add(l.now+l.pace.Ping, due{timerPing, t.id})
 		}
 	case timerIdle:
@@ -87,7 +87,7 @@
 		l.tellStrangers()
 	case timerTurned:
 		if c := l.conns[t.id]; c != nil && c.turned {
-			l.closeClient(ClosePlayer{Conn: t.id, Code: 1013, Why: "no room"})
+			l.closeClient(CloseClient{Conn: t.id, Code: 1013, Why: "no room"})
 		}
 	}
 }
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -174,25 +174,25 @@
 		return nil
 	}
 	switch e := in.(type) {
-	case PlayerKnocked:
+	case ClientConnecting:
 		l.knocked(e)
-	case PlayerOpened:
+	case ClientAccepted:
 		if c := l.conns[e.Conn]; c != nil {
 			l.limit(limits.Event{What: limits.Shook, Conn: int(c.seat)})
 			l.tellUntold(c, l.now-strangersAfter)
 		}
 	case Memory:
 		l.limit(limits.Event{What: limits.Measure, Memory: e.Bytes, Nodes: l.linkSockets()})
-	case PlayerSaid:
+	case ClientReceived:
 		l.playerSaid(e)
 		if c := l.conns[e.Conn]; c != nil && l.parting {
 			l.partFrom(c, false) // with its answer: there would always be another request
 		}
-	case PlayerClosed:
+	case ClientLost:
 		l.playerClosed(e)
 	case ClientInputEnded:
 		l.inputEnded(e)
-	case PlayerStays:
+	case ClientStays:
 		if c := l.conns[e.Conn]; c != nil {
 			c.parting = false
 		}
@@ -200,15 +200,15 @@
 			c.leaving = false
 			l.limit(limits.Event{What: limits.Stays, Conn: int(c.seat)})
 		}
-	case PlayerAlive:
+	case ClientAlive:
 		if c := l.conns[e.Conn]; c != nil {
 			l.limit(limits.Event{What: limits.Heard, Conn: int(c.seat), Ago: e.Quiet})
 		}
-	case LinkMade:
+	case LinkConnected:
 		l.linkMade(e)
 	case LinkFailed:
 		l.linkFailed(e)
-	case LinkSaid:
+	case LinkReceived:
 		l.linkSaid(e)
 	case LinkAlive:
 		l.linkAlive(e)
@@ -218,11 +218,11 @@
 		if g := l.legs[e.Leg]; g != nil && g.phase == legSent {
 			l.legEnds(g, fateWithdrawn, nil)
 		}
-	case ListOpened:
-		l.do(TellList{wire.List{Type: wire.Listen, Director: l.name}})
-	case ListSaid:
+	case DiscoveryConnected:
+		l.do(SendDiscovery{wire.List{Type: wire.Listen, Director: l.name}})
+	case DiscoveryReceived:
 		l.listSaid(e.Message)
-	case ListLost:
+	case DiscoveryLost:
 	case Stop:
 		if l.stop == nil {
 			l.stop = closing.Begin(l.now, l.term)
@@ -286,7 +286,7 @@
 	case policy.Schedule:
 		l.timers.Add(a.At, due{timerRing, 0})
 	case policy.Listen:
-		l.do(TellList{wire.List{Type: wire.Listen, Director: l.name}})
+		l.do(SendDiscovery{wire.List{Type: wire.Listen, Director: l.name}})
 	case policy.Log:
 		l.do(Log{a.Words})
 	}
--- a/internal/director/director_test.go
+++ b/internal/director/director_test.go
@@ -69,7 +69,7 @@
 		s := newStage(t, 3)
 		s.want("1", "exam")
 		g := s.oneLeg()
-		leave := func() { s.do(PlayerSaid{Conn: 1, Message: wire.Session{Type: wire.Leave, ID: "1"}}) }
+		leave := func() { s.do(ClientReceived{Conn: 1, Message: wire.Session{Type: wire.Leave, ID: "1"}}) }
 		if answerFirst {
 			s.do(said(g, wire.Accepted))
 			leave()
@@ -141,7 +141,7 @@
 	s.pass(2 * time.Second)
 	asked := 0
 	for _, o := range s.all {
-		if a, ok := o.(AskAlive); ok && a.Link == g.Link {
+		if a, ok := o.(ProbeLink); ok && a.Link == g.Link {
 			asked++
 		}
 	}
@@ -166,7 +166,7 @@
 	s.do(said(g, wire.Accepted))
 	s.do(said(g, wire.Accepted)) // twice
 	s.oneAnswer(wire.Plays)
-	s.do(LinkSaid{Link: g.Link, Message: wire.Node{Type: wire.Accepted, Leg: 999}}) // of nobody
+	s.do(LinkReceived{Link: g.Link, Message: wire.Node{Type: wire.Accepted, Leg: 999}}) // of nobody
 	if e := s.ends(); len(e) != 1 || e[0] != 999 {
 		t.Fatal("who plays for nobody is not ended", e)
 	}
@@ -174,7 +174,7 @@
 	if other == g.Link {
 		other = s.links[name(1)]
 	}
-	s.do(LinkSaid{Link: other, Message: wire.Node{Type: wire.Ended, Leg: g.Setup}}) // of another node's leg
+	s.do(LinkReceived{Link: other, Message: wire.Node{Type: wire.Ended, Leg: g.Setup}}) // of another node's leg
 	if len(s.told(wire.Over)) != 0 {
 		t.Fatal("another node ended it")
 	}
@@ -212,7 +212,7 @@
 	}
 	e := up(at)
 	e.State = wire.Draining
-	s.do(ListSaid{wire.List{Type: wire.Update, Serial: 2, Nodes: []wire.Entry{e}}})
+	s.do(DiscoveryReceived{wire.List{Type: wire.Update, Serial: 2, Nodes: []wire.Entry{e}}})
 	if w := s.withdrawals(); len(w) != 1 || w[0] != g.Setup {
 		t.Fatal(w)
 	}
@@ -238,7 +238,7 @@
 	}
 	e := up(0)
 	e.State = wire.Draining
-	s.do(ListSaid{wire.List{Type: wire.Update, Serial: 2, Nodes: []wire.Entry{e}}})
+	s.do(DiscoveryReceived{wire.List{Type: wire.Update, Serial: 2, Nodes: []wire.Entry{e}}})
 	s.makeLink(name(0))
 	s.pass(3 * time.Second)
 	if len(s.setups()) != 0 {
@@ -291,16 +291,16 @@
 	s := newStage(t, 3)
 	s.want("1", "exam", key("k"))
 	g := s.oneLeg()
-	s.do(PlayerClosed{Conn: 1})
+	s.do(ClientLost{Conn: 1})
 	s.enter(2)
-	s.do(PlayerSaid{Conn: 2, Message: wire.Session{Type: wire.Want, ID: "9", Tariff: "exam", Title: "t", Key: "k", Wait: 5000}})
+	s.do(ClientReceived{Conn: 2, Message: wire.Session{Type: wire.Want, ID: "9", Tariff: "exam", Title: "t", Key: "k", Wait: 5000}})
 	s.do(said(g, wire.Accepted))
 	if a := s.oneAnswer(wire.Plays); a.ID != "9" {
 		t.Fatal(a)
 	}
 	// While the second connection still stands, a third one takes the session over.
 	s.enter(3)
-	s.do(PlayerSaid{Conn: 3, Message: wire.Session{Type: wire.Want, ID: "7", Tariff: "exam", Title: "t", Key: "k", Wait: 5000}})
+	s.do(ClientReceived{Conn: 3, Message: wire.Session{Type: wire.Want, ID: "7", Tariff: "exam", Title: "t", Key: "k", Wait: 5000}})
 	if a := s.answers(); len(a) != 2 || a[1].ID != "7" || a[1].Session != a[0].Session {
 		t.Fatal(a)
 	}
@@ -309,11 +309,11 @@
 	}
 	s.oneLeg()
 	// The key with another title is somebody else's.
-	s.do(PlayerSaid{Conn: 3, Message: wire.Session{Type: wire.Want, ID: "8", Tariff: "clip", Title: "t", Key: "k", Wait: 5000}})
+	s.do(ClientReceived{Conn: 3, Message: wire.Session{Type: wire.Want, ID: "8", Tariff: "clip", Title: "t", Key: "k", Wait: 5000}})
 	if a := s.answers(); len(a) != 3 || a[2].Type != wire.Errored {
 		t.Fatal(a)
 	}
-	s.do(PlayerClosed{Conn: 3})
+	s.do(ClientLost{Conn: 3})
 	s.pass(999 * ms)
 	if len(s.ends()) != 0 {
 		t.Fatal("ended within the linger")
@@ -329,9 +329,9 @@
 func TestResumedRequestKeepsItsOwnTime(t *testing.T) {
 	s := newStage(t, 3)
 	s.want("1", "exam", func(m *wire.Session) { m.Key = "k" })
-	s.do(PlayerClosed{Conn: 1})
+	s.do(ClientLost{Conn: 1})
 	s.enter(2)
-	s.do(PlayerSaid{Conn: 2, Message: wire.Session{Type: wire.Want, ID: "1", Tariff: "exam", Title: "t", Key: "k", Wait: 500}})
+	s.do(ClientReceived{Conn: 2, Message: wire.Session{Type: wire.Want, ID: "1", Tariff: "exam", Title: "t", Key: "k", Wait: 500}})
 	s.pass(451 * ms)
 	s.oneAnswer(wire.Errored)
 	s.pass(3 * time.Second)
@@ -355,8 +355,8 @@
 		got["7"] != "nack: too many sessions on this connection" {
 		t.Fatal(got)
 	}
-	s.do(PlayerSaid{Conn: 1, Message: wire.Session{Type: wire.Plays, ID: "1"}})
-	if c, ok := s.out[len(s.out)-1].(ClosePlayer); !ok || c.Code != 1008 {
+	s.do(ClientReceived{Conn: 1, Message: wire.Session{Type: wire.Plays, ID: "1"}})
+	if c, ok := s.out[len(s.out)-1].(CloseClient); !ok || c.Code != 1008 {
 		t.Fatal(s.out)
 	}
 }
@@ -437,18 +437,18 @@
 func TestNewStartIsTold(t *testing.T) {
 	s := newStage(t, 1)
 	link := s.links[name(0)]
-	s.do(LinkSaid{Link: link, Message: wire.Node{Type: wire.Hello, Start: 77, Age: 10}})
+	s.do(LinkReceived{Link: link, Message: wire.Node{Type: wire.Hello, Start: 77, Age: 10}})
 	if n := s.loop.nodes[name(0)]; n.start != 77 || n.born != s.now-10*ms {
 		t.Fatal(n.start, n.born)
 	}
 	e := up(0)
 	e.Start, e.Age = 77, 500 // the list, later: the same start
-	s.do(ListSaid{wire.List{Type: wire.Update, Serial: 2, Nodes: []wire.Entry{e}}})
+	s.do(DiscoveryReceived{wire.List{Type: wire.Update, Serial: 2, Nodes: []wire.Entry{e}}})
 	if n := s.loop.nodes[name(0)]; n.born != s.now-10*ms || n.link != link {
 		t.Fatal("one start is taken for two")
 	}
 	e.Start, e.Age = 78, 5
-	s.do(ListSaid{wire.List{Type: wire.Update, Serial: 3, Nodes: []wire.Entry{e}}})
+	s.do(DiscoveryReceived{wire.List{Type: wire.Update, Serial: 3, Nodes: []wire.Entry{e}}})
 	if s.links[name(0)] == link {
 		t.Fatal("the old connection is kept")
 	}
@@ -463,8 +463,8 @@
 	link := s.links[name(0)]
 	off := up(0)
 	off.State = wire.Removed
-	s.do(ListSaid{wire.List{Type: wire.Update, Serial: 2, Nodes: []wire.Entry{off}}})
-	s.do(ListSaid{wire.List{Type: wire.Update, Serial: 3, Nodes: []wire.Entry{up(0)}}})
+	s.do(DiscoveryReceived{wire.List{Type: wire.Update, Serial: 2, Nodes: []wire.Entry{off}}})
+	s.do(DiscoveryReceived{wire.List{Type: wire.Update, Serial: 3, Nodes: []wire.Entry{up(0)}}})
 	if len(s.told(wire.Over)) != 0 || s.links[name(0)] != link {
 		t.Fatal("the session was lost by it")
 	}
@@ -474,7 +474,7 @@
 	}
 	// Off for good: once the last leg has ended nothing of it is left.
 	s.do(LinkFailed{Node: name(0), Link: s.links[name(0)]})
-	s.do(ListSaid{wire.List{Type: wire.Whole, Serial: 4, Titles: []wire.Title{{Title: "t", Copies: 8}}}})
+	s.do(DiscoveryReceived{wire.List{Type: wire.Whole, Serial: 4, Titles: []wire.Title{{Title: "t", Copies: 8}}}})
 	if len(s.loop.nodes) != 0 || len(s.loop.links) != 0 {
 		t.Fatal(len(s.loop.nodes), len(s.loop.links))
 	}
@@ -530,7 +530,7 @@
 	s.pass(2 * time.Second)
 	var let []uint64
 	for _, o := range s.all {
-		if c, ok := o.(ClosePlayer); ok && c.Code == 1013 {
+		if c, ok := o.(CloseClient); ok && c.Code == 1013 {
 			let = append(let, c.Conn)
 		}
 	}
@@ -542,7 +542,7 @@
 	if len(s.setups()) != 0 || len(s.answers()) != 0 {
 		t.Fatal("taken after it was told to go")
 	}
-	s.do(PlayerClosed{Conn: 1})
+	s.do(ClientLost{Conn: 1})
 	s.empty()
 }
 
@@ -554,7 +554,7 @@
 	s.do(said(s.oneLeg(), wire.Accepted))
 	s.forget()
 	stood := func(id string) {
-		s.do(PlayerSaid{Conn: 1, Waited: 300 * ms, Message: wire.Session{Type: wire.Want, ID: id, Tariff: "clip", Title: "t", Key: "key-" + id, Wait: 5000}})
+		s.do(ClientReceived{Conn: 1, Waited: 300 * ms, Message: wire.Session{Type: wire.Want, ID: id, Tariff: "clip", Title: "t", Key: "key-" + id, Wait: 5000}})
 	}
 	for i := range 300 {
 		s.now += ms
@@ -564,7 +564,7 @@
 		}
 		for _, x := range s.loop.sessions {
 			if x.request != "first" {
-				s.do(PlayerSaid{Conn: 1, Message: wire.Session{Type: wire.Leave, ID: x.request}})
+				s.do(ClientReceived{Conn: 1, Message: wire.Session{Type: wire.Leave, ID: x.request}})
 			}
 		}
 	}
@@ -574,7 +574,7 @@
 	}
 	s.forget()
 	s.enter(2)
-	s.do(PlayerSaid{Conn: 2, Waited: 300 * ms, Message: wire.Session{Type: wire.Want, ID: "again", Tariff: "clip", Title: "t", Key: "key-first", Wait: 5000}})
+	s.do(ClientReceived{Conn: 2, Waited: 300 * ms, Message: wire.Session{Type: wire.Want, ID: "again", Tariff: "clip", Title: "t", Key: "key-first", Wait: 5000}})
 	if len(s.told(wire.Plays)) != 1 || s.loop.counts.Adopted != 1 {
 		t.Fatal(s.all)
 	}
@@ -583,7 +583,7 @@
 // A request whose time ran out while it stood in line is answered in the step that takes it, without a leg.
 func TestTimeRunsOutInLine(t *testing.T) {
 	s := newStage(t, 2)
-	s.do(PlayerSaid{Conn: 1, Waited: 2 * time.Second, Message: wire.Session{Type: wire.Want, ID: "1", Tariff: "exam", Title: "t", Key: "k", Wait: 2000}})
+	s.do(ClientReceived{Conn: 1, Waited: 2 * time.Second, Message: wire.Session{Type: wire.Want, ID: "1", Tariff: "exam", Title: "t", Key: "k", Wait: 2000}})
 	if n := s.told(wire.Nack); len(n) != 1 || len(s.setups()) != 0 {
 		t.Fatal(s.all)
 	}
@@ -597,11 +597,11 @@
 	s.do(LinkLost{Link: s.links[name(0)]})
 	s.pass(ms)
 	s.want("1", "exam")
-	s.do(LinkMade{name(0), s.links[name(0)]})
+	s.do(LinkConnected{name(0), s.links[name(0)]})
 	if len(s.setups()) != 0 {
 		t.Fatal("sent before the node has said which start it is in")
 	}
-	s.do(LinkSaid{Link: s.links[name(0)], Message: wire.Node{Type: wire.Hello, Start: 77, Age: 5}})
+	s.do(LinkReceived{Link: s.links[name(0)], Message: wire.Node{Type: wire.Hello, Start: 77, Age: 5}})
 	if n := s.loop.counts.NeverRan[3]; n != 1 {
 		t.Fatal(n, "legs taken back")
 	}
@@ -615,7 +615,7 @@
 	s.do(LinkLost{Link: s.links[name(0)]})
 	s.pass(ms)
 	s.want("1", "exam")
-	s.do(LinkMade{name(0), s.links[name(0)]})
+	s.do(LinkConnected{name(0), s.links[name(0)]})
 	s.do(LinkLost{Link: s.links[name(0)]})
 	if n := s.loop.counts.NeverRan[2]; n != 1 || len(s.setups()) != 0 {
 		t.Fatal(n, s.setups())
@@ -628,8 +628,8 @@
 	s := newStage(t, 1)
 	s.do(LinkLost{Link: s.links[name(0)]})
 	s.pass(ms)
-	s.do(LinkMade{name(0), s.links[name(0)]})
-	s.do(LinkSaid{Link: s.links[name(0)], Message: wire.Node{Type: wire.Hello, Start: 9, Age: 50}})
+	s.do(LinkConnected{name(0), s.links[name(0)]})
+	s.do(LinkReceived{Link: s.links[name(0)], Message: wire.Node{Type: wire.Hello, Start: 9, Age: 50}})
 	s.pass(2 * time.Second)
 	s.want("1", "clip")
 	g := s.oneLeg()
@@ -637,13 +637,13 @@
 	s.forget()
 	late := up(0)
 	late.Start, late.Age = 8, 5000
-	s.do(ListSaid{wire.List{Type: wire.Update, Serial: 2, Nodes: []wire.Entry{late}}})
+	s.do(DiscoveryReceived{wire.List{Type: wire.Update, Serial: 2, Nodes: []wire.Entry{late}}})
 	if len(s.told(wire.Over)) != 0 {
 		t.Fatal("hung up on a node that runs")
 	}
 	later := up(0)
 	later.Start, later.Age = 10, 20
-	s.do(ListSaid{wire.List{Type: wire.Update, Serial: 3, Nodes: []wire.Entry{later}}})
+	s.do(DiscoveryReceived{wire.List{Type: wire.Update, Serial: 3, Nodes: []wire.Entry{later}}})
 	if len(s.told(wire.Over)) != 1 {
 		t.Fatal("kept what leads to a process that has ended")
 	}
@@ -657,17 +657,17 @@
 		s.do(LinkLost{Link: s.links[name(0)]})
 		anew := up(0)
 		anew.Start = 9
-		s.do(ListSaid{wire.List{Type: wire.Update, Serial: 2, Nodes: []wire.Entry{anew}}})
+		s.do(DiscoveryReceived{wire.List{Type: wire.Update, Serial: 2, Nodes: []wire.Entry{anew}}})
 		s.pass(ms)
-		s.do(LinkMade{name(0), s.links[name(0)]})
+		s.do(LinkConnected{name(0), s.links[name(0)]})
 		greeting := wire.Node{Type: wire.Hello, Start: 9}
 		if byList {
 			anew.Age = 10
-			s.do(ListSaid{wire.List{Type: wire.Update, Serial: 3, Nodes: []wire.Entry{anew}}})
+			s.do(DiscoveryReceived{wire.List{Type: wire.Update, Serial: 3, Nodes: []wire.Entry{anew}}})
 		} else {
 			greeting.Age = 10
 		}
-		s.do(LinkSaid{Link: s.links[name(0)], Message: greeting})
+		s.do(LinkReceived{Link: s.links[name(0)], Message: greeting})
 		if n := s.loop.nodes[name(0)]; n.entry.Born < s.now-50*ms {
 			t.Fatalf("by the list %t: taken for started at %v at %v", byList, n.entry.Born, s.now)
 		}
--- a/internal/director/events.go
+++ b/internal/director/events.go
@@ -67,7 +67,7 @@
 // closeLink asks for a server's connection to be closed.
 func (l *Loop) closeLink(n *node, link uint64, reason closeReason) {
 	l.event(Event{Kind: ServerDisconnected, Server: n.name, Link: link, Reason: string(reason)})
-	l.do(HangUp{link})
+	l.do(CloseLink{link})
 }
 
 // closeReason is why the director closes a server's connection.
--- a/internal/director/guard.go
+++ b/internal/director/guard.go
@@ -106,7 +106,7 @@
 }
 
 // closeClient closes a client's connection, unless an answer is owed on it; it tells whether it did.
-func (l *Loop) closeClient(o ClosePlayer) bool {
+func (l *Loop) closeClient(o CloseClient) bool {
 	if !l.mayClose(o.Conn, o.Why) {
 		return false
 	}
@@ -134,5 +134,5 @@
 		return
 	}
 	c.leaving = true
-	l.closeClient(ClosePlayer{Conn: c.number, Code: closeUnreadable, Why: c.inputEnd})
+	l.closeClient(CloseClient{Conn: c.number, Code: closeUnreadable, Why: c.inputEnd})
 }
--- a/internal/director/list.go
+++ b/internal/director/list.go
@@ -58,7 +58,7 @@
 		}
 		l.dropNode(n)
 	}
-	l.do(TellList{wire.List{Type: wire.Heard, Director: l.name, Serial: m.Serial}})
+	l.do(SendDiscovery{wire.List{Type: wire.Heard, Director: l.name, Serial: m.Serial}})
 }
 
 // concerned are the nodes that a list may have changed.
--- a/internal/director/loose.go
+++ b/internal/director/loose.go
@@ -40,7 +40,7 @@
 const endsMost = 1024
 
 // looseSaid takes what a player says where ids are sessions' own names.
-func (l *Loop) looseSaid(c *conn, e PlayerSaid) {
+func (l *Loop) looseSaid(c *conn, e ClientReceived) {
 	m := e.Message
 	s := l.keys[m.ID]
 	switch m.Type {
@@ -83,7 +83,7 @@
 }
 
 // refuse answers who was turned away. Endings, and what plays already, need no connection.
-func (l *Loop) refuse(c *conn, e PlayerSaid) {
+func (l *Loop) refuse(c *conn, e ClientReceived) {
 	switch s := l.keys[e.Message.ID]; {
 	case e.Message.Type != wire.Want || e.Brought.Playing != "":
 		l.looseSaid(c, e)
@@ -97,11 +97,11 @@
 // refuseRequest answers a request that is not taken.
 func (l *Loop) refuseRequest(c *conn, answer wire.Session) {
 	l.event(Event{Kind: RequestRefused, Request: answer.ID, Conn: c.number, Reason: answer.Why})
-	l.do(TellPlayer{Conn: c.number, Message: answer})
+	l.do(SendClient{Conn: c.number, Message: answer})
 }
 
 // handed takes a session that plays already.
-func (l *Loop) handed(c *conn, e PlayerSaid) {
+func (l *Loop) handed(c *conn, e ClientReceived) {
 	m, b := e.Message, e.Brought
 	tariff, known := l.tariff[m.Tariff]
 	n := l.nodes[b.Playing]
@@ -153,12 +153,12 @@
 	m := wire.Session{Type: wire.Over, ID: s.request, Session: s.name, Why: why}
 	for _, number := range [...]uint64{s.via, l.trusted} {
 		if c := l.conns[number]; c != nil && !c.leaving {
-			l.do(TellPlayer{Conn: number, Message: m})
+			l.do(SendClient{Conn: number, Message: m})
 			return
 		}
 	}
 	if c := l.anyConn(func(c *conn) bool { return c.proven }); c != nil {
-		l.do(TellPlayer{Conn: c.number, Message: m})
+		l.do(SendClient{Conn: c.number, Message: m})
 		return
 	}
 	l.untold = append(l.untold, untold{m, l.now + untoldFor})
@@ -188,7 +188,7 @@
 	l.forgetUntold()
 	told := 0
 	for ; told < len(l.untold) && l.untold[told].until-untoldFor <= since; told++ {
-		l.do(TellPlayer{Conn: c.number, Message: l.untold[told].message})
+		l.do(SendClient{Conn: c.number, Message: l.untold[told].message})
 	}
 	l.untold = l.untold[told:]
 }
@@ -202,7 +202,7 @@
 
 // looseLeg finds the leg that a node speaks of: by its session, and, until that plays, only on the connection of its
 // set-up. It guards against an answer to an earlier leg, and one to a connection before.
-func (l *Loop) looseLeg(n *node, e LinkSaid) *leg {
+func (l *Loop) looseLeg(n *node, e LinkReceived) *leg {
 	s := l.keys[e.Message.Session]
 	if s == nil || s.leg == nil || s.leg.node != n || s.leg.phase == legWaiting || s.leg.phase == legSent && s.leg.link != e.Link {
 		return nil
@@ -219,9 +219,9 @@
 	}
 	switch {
 	case g.phase == legSent:
-		l.do(TellNode{Link: g.link, Message: m})
+		l.do(SendServer{Link: g.link, Message: m})
 	case n.up:
-		l.do(TellNode{Link: n.link, Message: m})
+		l.do(SendServer{Link: n.link, Message: m})
 	case len(n.ends) < endsMost:
 		n.ends = append(n.ends, m)
 		l.needed(n)
--- a/internal/director/loose_test.go
+++ b/internal/director/loose_test.go
@@ -21,17 +21,17 @@
 // asks is a request under its session's own name.
 func (s *stage) asks(conn uint64, id, tariff string) {
 	s.t.Helper()
-	s.do(PlayerSaid{Conn: conn, Message: wire.Session{Type: wire.Want, ID: id, Key: id, Tariff: tariff, Title: "t", Wait: 5000},
+	s.do(ClientReceived{Conn: conn, Message: wire.Session{Type: wire.Want, ID: id, Key: id, Tariff: tariff, Title: "t", Wait: 5000},
 		Brought: &Brought{Base: 0, Copies: 8, Description: []byte("as it came")}})
 }
 
 // says is what a node says of a session on a connection.
-func says(link uint64, session, kind string) LinkSaid {
-	return LinkSaid{Link: link, Message: wire.Node{Type: kind, Session: session}, Description: []byte("as the node has it")}
+func says(link uint64, session, kind string) LinkReceived {
+	return LinkReceived{Link: link, Message: wire.Node{Type: kind, Session: session}, Description: []byte("as the node has it")}
 }
 
 // plays sets a session up on the only node.
-func (s *stage) plays(id, tariff string) TellNode {
+func (s *stage) plays(id, tariff string) SendServer {
 	s.t.Helper()
 	s.forget()
 	s.asks(1, id, tariff)
@@ -51,7 +51,7 @@
 	}
 	s.do(says(g.Link, "a", wire.Accepted))
 	for _, o := range s.out {
-		if m, ok := o.(TellPlayer); ok && string(m.Description) != "as the node has it" {
+		if m, ok := o.(SendClient); ok && string(m.Description) != "as the node has it" {
 			t.Fatalf("%+v", m)
 		}
 	}
@@ -62,12 +62,12 @@
 	s := newLoose(t, 1)
 	g := s.plays("a", "clip")
 	s.enter(2)
-	s.do(PlayerClosed{Conn: 1})
+	s.do(ClientLost{Conn: 1})
 	s.do(LinkLost{Link: g.Link})
 	if len(s.told(wire.Over)) != 0 || s.loop.playing != 1 {
 		t.Fatal("it ended with a connection")
 	}
-	s.do(LinkMade{name(0), s.links[name(0)]})
+	s.do(LinkConnected{name(0), s.links[name(0)]})
 	s.do(says(s.links[name(0)], "a", wire.Ended))
 	s.pass(strangersAfter) // nothing has played on the only connection there is
 	if over := s.told(wire.Over); len(over) != 1 || over[0].ID != "a" || over[0].Why != WhyEnded {
@@ -80,7 +80,7 @@
 func TestAnEndingWaitsForAConnection(t *testing.T) {
 	s := newLoose(t, 1)
 	g := s.plays("a", "clip")
-	s.do(PlayerClosed{Conn: 1})
+	s.do(ClientLost{Conn: 1})
 	s.do(says(g.Link, "a", wire.Ended))
 	if len(s.told(wire.Over)) != 0 {
 		t.Fatal("told to nobody")
@@ -98,7 +98,7 @@
 		t.Fatal("not told")
 	}
 	g = s.plays2(2, "b")
-	s.do(PlayerClosed{Conn: 2})
+	s.do(ClientLost{Conn: 2})
 	s.do(says(g.Link, "b", wire.Ended))
 	s.now += untoldFor
 	s.enter(3)
@@ -116,14 +116,14 @@
 	g := s.plays("a", "clip")
 	s.plays2(15, "b")
 	s.plays2(16, "c")
-	s.do(PlayerClosed{Conn: 1})
-	s.do(PlayerClosed{Conn: 16})
+	s.do(ClientLost{Conn: 1})
+	s.do(ClientLost{Conn: 16})
 	s.do(says(g.Link, "a", wire.Ended))
 	if at := s.toldOver(); len(at) != 1 || at[0] != 15 {
 		t.Fatalf("told on %v", at)
 	}
 	// Nobody is left on whose connection anything has played, until there is one.
-	s.do(PlayerClosed{Conn: 15})
+	s.do(ClientLost{Conn: 15})
 	s.do(says(g.Link, "b", wire.Ended))
 	s.asks(17, "d", "clip")
 	d := s.oneLeg()
@@ -137,7 +137,7 @@
 // toldOver is the connections on which an ending was told.
 func (s *stage) toldOver() (conns []uint64) {
 	for _, o := range s.out {
-		if m, ok := o.(TellPlayer); ok && m.Message.Type == wire.Over {
+		if m, ok := o.(SendClient); ok && m.Message.Type == wire.Over {
 			conns = append(conns, m.Conn)
 		}
 	}
@@ -149,7 +149,7 @@
 	s := newLoose(t, 1)
 	s.loop.limits = limits.New(1, limits.Room{Connections: 10, Handshakes: 10, Ping: time.Hour, Patience: time.Second,
 		Handshake: time.Second, Retry: time.Second})
-	s.do(PlayerClosed{Conn: 1})
+	s.do(ClientLost{Conn: 1})
 	s.enter(1)
 	g := s.plays("a", "clip")
 	s.pass(5 * time.Second)
@@ -160,7 +160,7 @@
 		s.pass(2 * time.Second)
 	}
 	for _, o := range s.all {
-		if m, ok := o.(ClosePlayer); ok {
+		if m, ok := o.(CloseClient); ok {
 			let[m.Conn] = true
 		}
 	}
@@ -177,7 +177,7 @@
 	}
 }
 
-func (s *stage) plays2(conn uint64, id string) TellNode {
+func (s *stage) plays2(conn uint64, id string) SendServer {
 	s.t.Helper()
 	s.forget()
 	s.asks(conn, id, "clip")
@@ -233,7 +233,7 @@
 	s.do(LinkFailed{Node: name(0), Link: s.links[name(0)]})
 	hung := false
 	for _, o := range s.all {
-		if h, ok := o.(HangUp); ok && h.Link == g.Link {
+		if h, ok := o.(CloseLink); ok && h.Link == g.Link {
 			hung = true
 		}
 	}
@@ -249,7 +249,7 @@
 	s.asks(1, "c", "clip")
 	s.pass(500 * ms)
 	check := s.links[name(0)]
-	s.do(LinkMade{name(0), check})
+	s.do(LinkConnected{name(0), check})
 	s.forget()
 	s.do(says(check, "b", wire.Accepted)) // not on the connection that it was sent on
 	if len(s.answers()) != 0 {
@@ -259,7 +259,7 @@
 	s.oneAnswer(wire.Plays)
 	hung := false
 	for _, o := range s.all {
-		if h, ok := o.(HangUp); ok && h.Link == g.Link {
+		if h, ok := o.(CloseLink); ok && h.Link == g.Link {
 			hung = true
 		}
 	}
@@ -280,7 +280,7 @@
 	g := s.oneLeg()
 	s.asks(1, "a", "exam")
 	s.asks(2, "a", "clip")
-	s.do(PlayerSaid{Conn: 2, Message: wire.Session{Type: wire.Leave, ID: "a"}})
+	s.do(ClientReceived{Conn: 2, Message: wire.Session{Type: wire.Leave, ID: "a"}})
 	if len(s.setups()) != 1 || len(s.ends()) != 0 {
 		t.Fatal("the first request noticed")
 	}
@@ -296,7 +296,7 @@
 func TestSessionsThatAreHandedOver(t *testing.T) {
 	s := newLoose(t, 1)
 	hand := func(id, node string) {
-		s.do(PlayerSaid{Conn: 1, Message: wire.Session{Type: wire.Want, ID: id, Key: id, Tariff: "exam", Title: "t"},
+		s.do(ClientReceived{Conn: 1, Message: wire.Session{Type: wire.Want, ID: id, Key: id, Tariff: "exam", Title: "t"},
 			Brought: &Brought{Copies: 8, Playing: node}})
 	}
 	hand("a", name(0))
@@ -308,7 +308,7 @@
 	if over := s.told(wire.Over); len(over) != 1 || over[0].ID != "b" {
 		t.Fatalf("%+v", over)
 	}
-	s.do(PlayerSaid{Conn: 1, Message: wire.Session{Type: wire.Leave, ID: "a"}})
+	s.do(ClientReceived{Conn: 1, Message: wire.Session{Type: wire.Leave, ID: "a"}})
 	if len(s.ends()) != 1 {
 		t.Fatal("its node was not told")
 	}
@@ -321,7 +321,7 @@
 	s.now += time.Second
 	e := up(0)
 	e.Start, e.Age = 99, 100
-	s.do(ListSaid{wire.List{Type: wire.Update, Nodes: []wire.Entry{e}}})
+	s.do(DiscoveryReceived{wire.List{Type: wire.Update, Nodes: []wire.Entry{e}}})
 	if len(s.told(wire.Over)) != 1 || s.links[name(0)] == g.Link {
 		t.Fatal("it is held to play, or its connection is kept")
 	}
@@ -336,11 +336,11 @@
 	s.do(LinkLost{Link: g.Link})
 	gone := up(0)
 	gone.State = wire.Removed
-	s.do(ListSaid{wire.List{Type: wire.Update, Nodes: []wire.Entry{gone}}})
+	s.do(DiscoveryReceived{wire.List{Type: wire.Update, Nodes: []wire.Entry{gone}}})
 	if len(s.told(wire.Over)) != 1 {
 		t.Fatal("it is held to play")
 	}
-	s.do(LinkMade{name(0), s.links[name(0)]}) // somebody else, at its address
+	s.do(LinkConnected{name(0), s.links[name(0)]}) // somebody else, at its address
 	s.empty()
 	if len(s.loop.nodes) != 0 || len(s.loop.links) != 0 {
 		t.Fatal("a node that is gone is kept")
@@ -352,11 +352,11 @@
 	s := newLoose(t, 1)
 	g := s.plays("a", "clip")
 	s.do(LinkLost{Link: g.Link})
-	s.do(PlayerSaid{Conn: 1, Message: wire.Session{Type: wire.Leave, ID: "a"}})
+	s.do(ClientReceived{Conn: 1, Message: wire.Session{Type: wire.Leave, ID: "a"}})
 	if len(s.ends()) != 0 {
 		t.Fatal("told on no connection")
 	}
-	s.do(LinkMade{name(0), s.links[name(0)]})
+	s.do(LinkConnected{name(0), s.links[name(0)]})
 	if len(s.ends()) != 1 {
 		t.Fatal("never told")
 	}
@@ -381,11 +381,11 @@
 		}
 		wants := map[string]*want{}
 		var ids []string
-		sent := map[string]TellNode{}
+		sent := map[string]SendServer{}
 		look := func() {
 			for _, o := range s.out {
 				switch o := o.(type) {
-				case TellNode:
+				case SendServer:
 					w := wants[o.Message.Session]
 					switch o.Message.Type {
 					case wire.Setup:
@@ -401,7 +401,7 @@
 							w.out, w.mayHave = 0, true
 						}
 					}
-				case TellPlayer:
+				case SendClient:
 					w := wants[o.Message.ID]
 					switch o.Message.Type {
 					case wire.Plays:
@@ -475,7 +475,7 @@
 			case k == 9:
 				if n := s.loop.links[s.links[node]]; n != nil && n.trying {
 					if rapid.Bool().Draw(t, "made") {
-						do(LinkMade{node, s.links[node]})
+						do(LinkConnected{node, s.links[node]})
 					} else {
 						link := n.link
 						for id, g := range sent {
@@ -490,14 +490,14 @@
 				conn := rapid.SampledFrom([]uint64{1, 2, conns}).Draw(t, "closed")
 				if open[conn] {
 					delete(open, conn)
-					do(PlayerClosed{Conn: conn})
+					do(ClientLost{Conn: conn})
 					conns++
 					open[conns] = true
-					do(PlayerKnocked{Conn: conns})
-					do(PlayerOpened{conns})
+					do(ClientConnecting{Conn: conns})
+					do(ClientAccepted{conns})
 				}
 			case k == 11 && w != nil && open[w.conn]:
-				do(PlayerSaid{Conn: w.conn, Message: wire.Session{Type: wire.Leave, ID: id}})
+				do(ClientReceived{Conn: w.conn, Message: wire.Session{Type: wire.Leave, ID: id}})
 			default:
 				end := s.now + time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms"))*ms
 				for next := s.loop.Next(); next <= end; next = s.loop.Next() {
@@ -537,7 +537,7 @@
 	s := newLoose(t, 1)
 	s.plays("a", "clip")
 	s.asks(1, "b", "clip")
-	stranger := PlayerSaid{Conn: 77, Message: wire.Session{Type: wire.Leave, ID: "b"}}
+	stranger := ClientReceived{Conn: 77, Message: wire.Session{Type: wire.Leave, ID: "b"}}
 	s.do(stranger)
 	if s.loop.owed != 1 {
 		t.Fatal("a stranger ended what another one waits for")
@@ -554,27 +554,27 @@
 	s := newLoose(t, 1)
 	s.loop.limits = limits.New(1, limits.Room{Connections: 1, Handshakes: 1, Ping: time.Hour, Patience: time.Second,
 		Handshake: time.Second, Retry: time.Second})
-	s.do(PlayerClosed{Conn: 1})
+	s.do(ClientLost{Conn: 1})
 	s.enter(1)
 	s.plays("a", "clip") // there is room for one
-	s.do(PlayerKnocked{Conn: 2})
+	s.do(ClientConnecting{Conn: 2})
 	s.asks(2, "b", "clip")
 	s.asks(2, "c", "exam")
 	if got := s.told(wire.Nack); len(got) != 2 || got[0].ID != "b" || got[1].ID != "c" || len(s.setups()) != 0 {
 		t.Fatalf("%+v, %d set-ups", got, len(s.setups()))
 	}
-	s.do(PlayerSaid{Conn: 2, Message: wire.Session{Type: wire.Leave, ID: "a"}}) // an ending needs no room
+	s.do(ClientReceived{Conn: 2, Message: wire.Session{Type: wire.Leave, ID: "a"}}) // an ending needs no room
 	if s.loop.playing != 0 {
 		t.Fatal("it plays on")
 	}
 	s.pass(turnedFor)
 	closed := 0
 	for _, o := range s.all {
-		if m, ok := o.(ClosePlayer); ok && m.Conn == 2 {
+		if m, ok := o.(CloseClient); ok && m.Conn == 2 {
 			closed++
 		}
 	}
-	s.do(PlayerClosed{Conn: 2})
+	s.do(ClientLost{Conn: 2})
 	if closed != 1 || len(s.loop.turned) != 0 || len(s.loop.conns) != 1 {
 		t.Fatalf("closed %d times, %d turned away, %d connections", closed, len(s.loop.turned), len(s.loop.conns))
 	}
@@ -586,7 +586,7 @@
 	s.pass(time.Second) // with room for one, it is full
 	var let []uint64
 	for _, o := range s.all {
-		if m, ok := o.(ClosePlayer); ok && m.Idle {
+		if m, ok := o.(CloseClient); ok && m.Idle {
 			let = append(let, m.Conn)
 		}
 	}
@@ -594,36 +594,36 @@
 		t.Fatalf("let go: %v", let)
 	}
 	s.forget()
-	s.do(PlayerStays{1})
+	s.do(ClientStays{1})
 	s.asks(1, "b", "clip")
 	if len(s.dials()) != 1 {
 		t.Fatal("it was not taken")
 	}
-	s.do(LinkMade{name(0), s.links[name(0)]})
+	s.do(LinkConnected{name(0), s.links[name(0)]})
 	s.oneLeg()
 }
 
 // Whoever says that a session is over, its client learns of it: on the connection that it came on, and once. Only who
 // ends it on that very connection is told nothing.
 func TestEveryEndReachesItsClient(t *testing.T) {
-	for name, end := range map[string]func(s *stage, g TellNode){
-		"its node, ended by itself": func(s *stage, g TellNode) { s.do(says(g.Link, "a", wire.Ended)) },
-		"its node, ended by its client": func(s *stage, g TellNode) {
+	for name, end := range map[string]func(s *stage, g SendServer){
+		"its node, ended by itself": func(s *stage, g SendServer) { s.do(says(g.Link, "a", wire.Ended)) },
+		"its node, ended by its client": func(s *stage, g SendServer) {
 			m := says(g.Link, "a", wire.Ended)
 			m.Message.Why = wire.CalledOff
 			s.do(m)
 		},
-		"its node, cut": func(s *stage, g TellNode) {
+		"its node, cut": func(s *stage, g SendServer) {
 			m := says(g.Link, "a", wire.Ended)
 			m.Message.Why = wire.Lost
 			s.do(m)
 		},
-		"a client on another connection": func(s *stage, g TellNode) {
+		"a client on another connection": func(s *stage, g SendServer) {
 			s.enter(2)
-			s.do(PlayerSaid{Conn: 2, Message: wire.Session{Type: wire.Leave, ID: "a"}})
+			s.do(ClientReceived{Conn: 2, Message: wire.Session{Type: wire.Leave, ID: "a"}})
 		},
-		"a client on a connection that has ended": func(s *stage, g TellNode) {
-			s.do(PlayerSaid{Conn: 7, Message: wire.Session{Type: wire.Leave, ID: "a"}})
+		"a client on a connection that has ended": func(s *stage, g SendServer) {
+			s.do(ClientReceived{Conn: 7, Message: wire.Session{Type: wire.Leave, ID: "a"}})
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -637,7 +637,7 @@
 	}
 	s := newLoose(t, 1)
 	s.plays("a", "clip")
-	s.do(PlayerSaid{Conn: 1, Message: wire.Session{Type: wire.Leave, ID: "a"}})
+	s.do(ClientReceived{Conn: 1, Message: wire.Session{Type: wire.Leave, ID: "a"}})
 	if over := s.told(wire.Over); len(over) != 0 {
 		t.Fatalf("who has ended it was told %+v", over)
 	}
--- a/internal/director/messages.go
+++ b/internal/director/messages.go
@@ -13,27 +13,27 @@
 // The inputs. Conn numbers a player's connection, Link one connection to a node; the caller picks both
 // numbers and never uses one twice.
 type (
-	// PlayerKnocked says that a player wants to connect; Welcome or TurnAway answers it.
-	PlayerKnocked struct {
+	// ClientConnecting says that a player wants to connect; AcceptClient or RejectClient answers it.
+	ClientConnecting struct {
 		Conn    uint64
 		Address netip.Addr
 	}
-	// PlayerOpened says that a player who was welcome has connected.
-	PlayerOpened struct{ Conn uint64 }
+	// ClientAccepted says that a player who was welcome has connected.
+	ClientAccepted struct{ Conn uint64 }
 	// Memory is what the program uses now, in bytes.
 	Memory struct{ Bytes int64 }
-	// PlayerSaid is a message from a player that has waited for the loop for so long. A request may bring
+	// ClientReceived is a message from a player that has waited for the loop for so long. A request may bring
 	// more than the message holds.
-	PlayerSaid struct {
+	ClientReceived struct {
 		Conn    uint64
 		Message wire.Session
 		Waited  time.Duration
 		Brought *Brought
 	}
-	// PlayerStays says that a player whom an idle ClosePlayer was meant for has said something meanwhile.
-	PlayerStays struct{ Conn uint64 }
-	// PlayerClosed says that a player's connection has ended, and why, for logs.
-	PlayerClosed struct {
+	// ClientStays says that a player whom an idle CloseClient was meant for has said something meanwhile.
+	ClientStays struct{ Conn uint64 }
+	// ClientLost says that a player's connection has ended, and why, for logs.
+	ClientLost struct {
 		Conn   uint64
 		Reason string
 	}
@@ -43,8 +43,8 @@
 		Conn   uint64
 		Reason string
 	}
-	// LinkMade says that a Connect succeeded.
-	LinkMade struct {
+	// LinkConnected says that a Connect succeeded.
+	LinkConnected struct {
 		Node string
 		Link uint64
 	}
@@ -56,8 +56,8 @@
 		Refused bool
 		Crowded bool
 	}
-	// LinkSaid is a message from a node, with what describes the session where it is accepted.
-	LinkSaid struct {
+	// LinkReceived is a message from a node, with what describes the session where it is accepted.
+	LinkReceived struct {
 		Link        uint64
 		Message     wire.Node
 		Description []byte
@@ -67,8 +67,8 @@
 		Link  uint64
 		Quiet time.Duration
 	}
-	// PlayerAlive says how long ago anything last came from a player.
-	PlayerAlive struct {
+	// ClientAlive says how long ago anything last came from a player.
+	ClientAlive struct {
 		Conn  uint64
 		Quiet time.Duration
 	}
@@ -81,37 +81,37 @@
 	}
 	// Withdrawn says that a leg's set-up was taken back before one byte of it was handed to the kernel.
 	Withdrawn struct{ Leg uint64 }
-	// ListOpened says that the list's source is connected.
-	ListOpened struct{}
-	// ListSaid is a message from the list.
-	ListSaid struct{ Message wire.List }
-	// ListLost says that the list's source is gone; the last list stays in force.
-	ListLost struct{}
+	// DiscoveryConnected says that the list's source is connected.
+	DiscoveryConnected struct{}
+	// DiscoveryReceived is a message from the list.
+	DiscoveryReceived struct{ Message wire.List }
+	// DiscoveryLost says that the list's source is gone; the last list stays in force.
+	DiscoveryLost struct{}
 	// Tick says that the time asked for by Next has come.
 	Tick struct{}
 	// Stop orders the director to end as package closing decides.
 	Stop struct{}
 )
 
-func (PlayerKnocked) input()    {}
-func (PlayerOpened) input()     {}
-func (Memory) input()           {}
-func (PlayerSaid) input()       {}
-func (PlayerClosed) input()     {}
-func (PlayerStays) input()      {}
-func (ClientInputEnded) input() {}
-func (LinkMade) input()         {}
-func (LinkFailed) input()       {}
-func (LinkSaid) input()         {}
-func (LinkAlive) input()        {}
-func (PlayerAlive) input()      {}
-func (LinkLost) input()         {}
-func (Withdrawn) input()        {}
-func (ListOpened) input()       {}
-func (ListSaid) input()         {}
-func (ListLost) input()         {}
-func (Tick) input()             {}
-func (Stop) input()             {}
+func (ClientConnecting) input()   {}
+func (ClientAccepted) input()     {}
+func (Memory) input()             {}
+func (ClientReceived) input()     {}
+func (ClientLost) input()         {}
+func (ClientStays) input()        {}
+func (ClientInputEnded) input()   {}
+func (LinkConnected) input()      {}
+func (LinkFailed) input()         {}
+func (LinkReceived) input()       {}
+func (LinkAlive) input()          {}
+func (ClientAlive) input()        {}
+func (LinkLost) input()           {}
+func (Withdrawn) input()          {}
+func (DiscoveryConnected) input() {}
+func (DiscoveryReceived) input()  {}
+func (DiscoveryLost) input()      {}
+func (Tick) input()               {}
+func (Stop) input()               {}
 
 // Brought is what a request brings along where no catalogue says it.
 type Brought struct {
@@ -126,38 +126,38 @@
 
 // The outputs.
 type (
-	// TellPlayer sends a message to a player. A rung that was told may be dropped, or replaced by a later
+	// SendClient sends a message to a player. A rung that was told may be dropped, or replaced by a later
 	// one of the same Merge that finds it still waiting; an answer never.
-	TellPlayer struct {
+	SendClient struct {
 		Conn        uint64
 		Message     wire.Session
 		Merge       uint64
 		Description []byte // of an answer that it plays, as the node gave it
 	}
-	// Welcome lets a player in who has knocked.
-	Welcome struct{ Conn uint64 }
-	// TurnAway does not, and says when to come back.
-	TurnAway struct {
+	// AcceptClient lets a player in who has knocked.
+	AcceptClient struct{ Conn uint64 }
+	// RejectClient does not, and says when to come back.
+	RejectClient struct {
 		Conn  uint64
 		Retry time.Duration
 		Why   string
 	}
-	// ClosePlayer ends a player's connection, with the code of RFC 6455 and a reason; code 0 cuts it. Idle: only
-	// because nothing is to be done for it; PlayerStays answers where something it said is still on its way here.
-	ClosePlayer struct {
+	// CloseClient ends a player's connection, with the code of RFC 6455 and a reason; code 0 cuts it. Idle: only
+	// because nothing is to be done for it; ClientStays answers where something it said is still on its way here.
+	CloseClient struct {
 		Conn uint64
 		Code int
 		Why  string
 		Idle bool
 	}
-	// Connect asks for a connection to a node; LinkMade or LinkFailed answers it within the time.
+	// Connect asks for a connection to a node; LinkConnected or LinkFailed answers it within the time.
 	Connect struct {
 		Node, Address string
 		Link          uint64
 		Within        time.Duration
 	}
-	// TellNode sends a message to a node. Setup is the leg where the message sets one up, else 0.
-	TellNode struct {
+	// SendServer sends a message to a node. Setup is the leg where the message sets one up, else 0.
+	SendServer struct {
 		Link        uint64
 		Setup       uint64
 		Message     wire.Node
@@ -166,14 +166,14 @@
 	// Withdraw asks for a leg's set-up back, if not one byte of it was handed to the kernel yet;
 	// Withdrawn answers if it worked, nothing if not.
 	Withdraw struct{ Link, Leg uint64 }
-	// AskAlive pings a node; LinkAlive answers at once with how long it has been quiet.
-	AskAlive struct{ Link uint64 }
-	// AskPlayerAlive pings a player; PlayerAlive answers at once with how long it has been quiet.
-	AskPlayerAlive struct{ Conn uint64 }
-	// HangUp ends the connection to a node.
-	HangUp struct{ Link uint64 }
-	// TellList sends a message to the list's source.
-	TellList struct{ Message wire.List }
+	// ProbeLink pings a node; LinkAlive answers at once with how long it has been quiet.
+	ProbeLink struct{ Link uint64 }
+	// ProbeClient pings a player; ClientAlive answers at once with how long it has been quiet.
+	ProbeClient struct{ Conn uint64 }
+	// CloseLink ends the connection to a node.
+	CloseLink struct{ Link uint64 }
+	// SendDiscovery sends a message to the list's source.
+	SendDiscovery struct{ Message wire.List }
 	// Log is a line for those on call.
 	Log struct{ Words string }
 	// StopAccepting ends the listener: who connects from now on is refused by the system.
@@ -182,17 +182,17 @@
 	Ended struct{}
 )
 
-func (Welcome) output()        {}
-func (TurnAway) output()       {}
-func (TellPlayer) output()     {}
-func (ClosePlayer) output()    {}
-func (Connect) output()        {}
-func (TellNode) output()       {}
-func (Withdraw) output()       {}
-func (AskAlive) output()       {}
-func (AskPlayerAlive) output() {}
-func (HangUp) output()         {}
-func (TellList) output()       {}
-func (Log) output()            {}
-func (StopAccepting) output()  {}
-func (Ended) output()          {}
+func (AcceptClient) output()  {}
+func (RejectClient) output()  {}
+func (SendClient) output()    {}
+func (CloseClient) output()   {}
+func (Connect) output()       {}
+func (SendServer) output()    {}
+func (Withdraw) output()      {}
+func (ProbeLink) output()     {}
+func (ProbeClient) output()   {}
+func (CloseLink) output()     {}
+func (SendDiscovery) output() {}
+func (Log) output()           {}
+func (StopAccepting) output() {}
+func (Ended) output()         {}
--- a/internal/director/need_test.go
+++ b/internal/director/need_test.go
@@ -36,7 +36,7 @@
 
 func (s *stage) hungUp() (links []uint64) {
 	for _, o := range s.all {
-		if h, ok := o.(HangUp); ok {
+		if h, ok := o.(CloseLink); ok {
 			links = append(links, h.Link)
 		}
 	}
@@ -50,7 +50,7 @@
 		t.Fatalf("%d dials, %d set-ups", len(d), len(s.setups()))
 	}
 	link := s.links[name(0)]
-	s.do(LinkMade{name(0), link})
+	s.do(LinkConnected{name(0), link})
 	if g := s.oneLeg(); g.Link != link {
 		t.Fatalf("sent on %d", g.Link)
 	}
@@ -67,13 +67,13 @@
 // The client leaves while its request waits for a connection: nothing is sent once that is made.
 func TestAClientThatLeavesWhileItsSetUpWaitsForAConnection(t *testing.T) {
 	for name0, leave := range map[string]Input{
-		"closes":  PlayerClosed{Conn: 1},
-		"cancels": PlayerSaid{Conn: 1, Message: wire.Session{Type: wire.Leave, ID: "a"}},
+		"closes":  ClientLost{Conn: 1},
+		"cancels": ClientReceived{Conn: 1, Message: wire.Session{Type: wire.Leave, ID: "a"}},
 	} {
 		s := newOnNeed(t, 1, 0)
 		s.asks(1, "a", "exam")
 		s.do(leave)
-		s.do(LinkMade{name(0), s.links[name(0)]})
+		s.do(LinkConnected{name(0), s.links[name(0)]})
 		if n := len(s.setups()); n != 0 {
 			t.Fatalf("%s: %d set-ups", name0, n)
 		}
@@ -93,7 +93,7 @@
 	if len(second) != 1 || second[0].Node == first.Node {
 		t.Fatalf("%+v", second)
 	}
-	s.do(LinkMade{second[0].Node, second[0].Link})
+	s.do(LinkConnected{second[0].Node, second[0].Link})
 	s.do(says(second[0].Link, "a", wire.Accepted))
 	s.oneAnswer(wire.Plays)
 	if s.loop.nodes[first.Node].suspect {
@@ -112,7 +112,7 @@
 	s := newOnNeed(t, 1, 0)
 	s.asks(1, "a", "clip")
 	link := s.links[name(0)]
-	s.do(LinkMade{name(0), link})
+	s.do(LinkConnected{name(0), link})
 	s.do(says(link, "a", wire.Accepted))
 	s.do(says(link, "a", wire.Ended))
 	s.forget()
@@ -135,7 +135,7 @@
 	s := newOnNeed(t, 1, 0)
 	s.asks(1, "z", "clip")
 	link := s.links[name(0)]
-	s.do(LinkMade{name(0), link})
+	s.do(LinkConnected{name(0), link})
 	s.do(says(link, "z", wire.Accepted))
 	s.do(says(link, "z", wire.Ended)) // the connection has had nothing to do since
 	s.asks(1, "a", "clip")
@@ -143,7 +143,7 @@
 	s.forget()
 	s.pass(s.loop.pace.Keep + time.Second)
 	if l := s.links[name(0)]; l != link { // quiet for so long it was checked by another, not hung up on
-		s.do(LinkMade{name(0), l})
+		s.do(LinkConnected{name(0), l})
 		link = l
 	}
 	if s.loop.playing != 1 || !s.loop.nodes[name(0)].up {
@@ -155,7 +155,7 @@
 		t.Fatal("not connected to again")
 	}
 	link = s.links[name(0)]
-	s.do(LinkMade{name(0), link})
+	s.do(LinkConnected{name(0), link})
 	s.do(says(link, "a", wire.Ended))
 	s.forget()
 	s.do(LinkLost{Link: link})
@@ -179,7 +179,7 @@
 			t.Fatalf("%s: no dial", id)
 		}
 		made = append(made, d...)
-		s.do(LinkMade{d[0].Node, d[0].Link})
+		s.do(LinkConnected{d[0].Node, d[0].Link})
 		s.do(says(d[0].Link, id, wire.Accepted))
 		if id == "a" {
 			s.do(says(d[0].Link, id, wire.Ended))
@@ -197,16 +197,16 @@
 // nothing had been said, and what the list drops is not kept.
 func TestTheWholeListAgainChangesNothing(t *testing.T) {
 	s := newOnNeed(t, 3, 0)
-	whole := func(nodes ...int) ListSaid {
+	whole := func(nodes ...int) DiscoveryReceived {
 		m := wire.List{Type: wire.Whole, Serial: 9, Titles: []wire.Title{{Title: "t", Base: 0, Copies: 8}}}
 		for _, i := range nodes {
 			m.Nodes = append(m.Nodes, up(i))
 		}
-		return ListSaid{m}
+		return DiscoveryReceived{m}
 	}
 	s.asks(1, "a", "clip")
 	d := s.dials()[0]
-	s.do(LinkMade{d.Node, d.Link})
+	s.do(LinkConnected{d.Node, d.Link})
 	s.do(says(d.Link, "a", wire.Accepted)) // plays
 	s.asks(1, "b", "exam")                 // waits for a connection, or is out
 	s.forget()
--- a/internal/director/nodes.go
+++ b/internal/director/nodes.go
@@ -54,7 +54,7 @@
 	}
 }
 
-func (l *Loop) linkSaid(e LinkSaid) {
+func (l *Loop) linkSaid(e LinkReceived) {
 	n, m := l.links[e.Link], e.Message
 	if n == nil {
 		return
@@ -71,7 +71,7 @@
 	if g == nil || g.node != n {
 		l.counts.Stray++
 		if m.Type == wire.Accepted && !l.manners.Loose { // it plays for nobody
-			l.do(TellNode{Link: e.Link, Message: wire.Node{Type: wire.End, Leg: m.Leg}})
+			l.do(SendServer{Link: e.Link, Message: wire.Node{Type: wire.End, Leg: m.Leg}})
 		}
 		return
 	}
--- a/internal/director/properties_test.go
+++ b/internal/director/properties_test.go
@@ -84,7 +84,7 @@
 // Rule 1: each request that is taken gets exactly one final answer, before its hard stop.
 func TestRule1OneAnswerInTime(t *testing.T) {
 	holds(t, usual(witness.RuleAnswer), func(c *charter) {
-		c.drop = func(o Output) bool { m, ok := o.(TellPlayer); return ok && m.Message.Type == wire.Errored }
+		c.drop = func(o Output) bool { m, ok := o.(SendClient); return ok && m.Message.Type == wire.Errored }
 	})
 }
 
--- a/internal/director/replaced_test.go
+++ b/internal/director/replaced_test.go
@@ -12,11 +12,11 @@
 // the new address was dropped, and once the old connection broke it was sought at the old one for ever.
 func TestListWithoutAgesMovesANode(t *testing.T) {
 	s := newStage(t, 1)
-	s.do(LinkSaid{Link: s.links["n0"], Message: wire.Node{Type: wire.Hello, Start: 1, Age: 5000}})
+	s.do(LinkReceived{Link: s.links["n0"], Message: wire.Node{Type: wire.Hello, Start: 1, Age: 5000}})
 	e := up(0)
 	e.Start, e.Address = 7, "b:n0"
 	s.forget()
-	s.do(ListSaid{wire.List{Type: wire.Update, Serial: 2, Nodes: []wire.Entry{e}}})
+	s.do(DiscoveryReceived{wire.List{Type: wire.Update, Serial: 2, Nodes: []wire.Entry{e}}})
 	s.pass(time.Second)
 	for _, o := range s.all {
 		if c, ok := o.(Connect); ok && c.Address == "b:n0" {
@@ -30,13 +30,13 @@
 func TestListWithoutAgesIsBehind(t *testing.T) {
 	for _, start := range []uint64{1, 9} {
 		s := newStage(t, 1)
-		s.do(LinkSaid{Link: s.links["n0"], Message: wire.Node{Type: wire.Hello, Start: 2, Age: 500}})
+		s.do(LinkReceived{Link: s.links["n0"], Message: wire.Node{Type: wire.Hello, Start: 2, Age: 500}})
 		e := up(0)
 		e.Start = start
 		s.forget()
-		s.do(ListSaid{wire.List{Type: wire.Update, Serial: 2, Nodes: []wire.Entry{e}}})
+		s.do(DiscoveryReceived{wire.List{Type: wire.Update, Serial: 2, Nodes: []wire.Entry{e}}})
 		for _, o := range s.all {
-			if _, ok := o.(HangUp); ok {
+			if _, ok := o.(CloseLink); ok {
 				t.Fatal("hung up on a node that is there, for start", start)
 			}
 		}
@@ -49,8 +49,8 @@
 	s := newStage(t, 1)
 	e := up(0)
 	e.Age = absurd
-	s.do(ListSaid{wire.List{Type: wire.Update, Serial: 2, Nodes: []wire.Entry{e}}})
-	s.do(LinkSaid{Link: s.links["n0"], Message: wire.Node{Type: wire.Hello, Start: 1, Age: absurd}})
+	s.do(DiscoveryReceived{wire.List{Type: wire.Update, Serial: 2, Nodes: []wire.Entry{e}}})
+	s.do(LinkReceived{Link: s.links["n0"], Message: wire.Node{Type: wire.Hello, Start: 1, Age: absurd}})
 	if born := s.loop.nodes["n0"].born; born != policy.LongAgo {
 		t.Fatal("started at", born)
 	}
@@ -65,10 +65,10 @@
 	s.do(LinkLost{Link: g.Link})
 	s.oneAnswer(wire.Errored)
 	s.pass(200 * ms)
-	s.do(LinkMade{"n0", s.links["n0"]})
-	s.do(LinkSaid{Link: s.links["n0"], Message: wire.Node{Type: wire.Hello, Start: 2, Age: 5}})
-	s.do(LinkSaid{Link: s.links["n0"], Message: wire.Node{Type: wire.Full, Leg: g.Setup}})
-	s.do(LinkSaid{Link: s.links["n0"], Message: wire.Node{Type: wire.Accepted, Leg: g.Setup}})
+	s.do(LinkConnected{"n0", s.links["n0"]})
+	s.do(LinkReceived{Link: s.links["n0"], Message: wire.Node{Type: wire.Hello, Start: 2, Age: 5}})
+	s.do(LinkReceived{Link: s.links["n0"], Message: wire.Node{Type: wire.Full, Leg: g.Setup}})
+	s.do(LinkReceived{Link: s.links["n0"], Message: wire.Node{Type: wire.Accepted, Leg: g.Setup}})
 	s.pass(5 * time.Second)
 	s.oneAnswer(wire.Errored)
 	s.oneLeg()
--- a/internal/director/session.go
+++ b/internal/director/session.go
@@ -168,7 +168,7 @@
 func (l *Loop) adopt(s *session, c *conn, id string, stop time.Duration) {
 	l.counts.Adopted++
 	if s.conn != nil && s.conn != c {
-		l.do(TellPlayer{Conn: s.conn.number, Message: wire.Session{Type: wire.Over, ID: s.request, Session: s.name, Why: "taken over"}})
+		l.do(SendClient{Conn: s.conn.number, Message: wire.Session{Type: wire.Over, ID: s.request, Session: s.name, Why: "taken over"}})
 	}
 	l.unhand(s)
 	s.conn, s.request = c, id
@@ -229,7 +229,7 @@
 		return
 	}
 	if s.conn != nil {
-		l.do(TellPlayer{Conn: s.conn.number, Message: wire.Session{Type: wire.Over, ID: s.request, Session: s.name, Why: why}})
+		l.do(SendClient{Conn: s.conn.number, Message: wire.Session{Type: wire.Over, ID: s.request, Session: s.name, Why: why}})
 	}
 }
 
--- a/internal/director/stage_test.go
+++ b/internal/director/stage_test.go
@@ -60,7 +60,7 @@
 	for i := range nodes {
 		entries = append(entries, up(i))
 	}
-	s.do(ListSaid{wire.List{Type: wire.Whole, Serial: 1, Nodes: entries, Titles: []wire.Title{{Title: "t", Base: 0, Copies: 8}}}})
+	s.do(DiscoveryReceived{wire.List{Type: wire.Whole, Serial: 1, Nodes: entries, Titles: []wire.Title{{Title: "t", Base: 0, Copies: 8}}}})
 	for i := range nodes {
 		if s.links[name(i)] != 0 {
 			s.makeLink(name(i))
@@ -109,14 +109,14 @@
 
 // enter connects a player.
 func (s *stage) enter(conn uint64) {
-	s.do(PlayerKnocked{Conn: conn})
-	s.do(PlayerOpened{conn})
+	s.do(ClientConnecting{Conn: conn})
+	s.do(ClientAccepted{conn})
 }
 
 // makeLink connects a node, which says then that it is in a start that the director knows.
 func (s *stage) makeLink(node string) {
-	s.do(LinkMade{node, s.links[node]})
-	s.do(LinkSaid{Link: s.links[node], Message: wire.Node{Type: wire.Hello}})
+	s.do(LinkConnected{node, s.links[node]})
+	s.do(LinkReceived{Link: s.links[node], Message: wire.Node{Type: wire.Hello}})
 }
 
 func (s *stage) want(id, tariff string, change ...func(*wire.Session)) {
@@ -125,13 +125,13 @@
 	for _, f := range change {
 		f(&m)
 	}
-	s.do(PlayerSaid{Conn: 1, Message: m})
+	s.do(ClientReceived{Conn: 1, Message: m})
 }
 
 // setups are the set-ups sent since the last forget.
-func (s *stage) setups() (all []TellNode) {
+func (s *stage) setups() (all []SendServer) {
 	for _, o := range s.all {
-		if m, ok := o.(TellNode); ok && m.Message.Type == wire.Setup {
+		if m, ok := o.(SendServer); ok && m.Message.Type == wire.Setup {
 			all = append(all, m)
 		}
 	}
@@ -141,7 +141,7 @@
 // told are the messages of some types that players got since the last forget.
 func (s *stage) told(types ...string) (all []wire.Session) {
 	for _, o := range s.all {
-		if m, ok := o.(TellPlayer); ok {
+		if m, ok := o.(SendClient); ok {
 			for _, t := range types {
 				if m.Message.Type == t {
 					all = append(all, m.Message)
@@ -156,7 +156,7 @@
 
 func (s *stage) ends() (legs []uint64) {
 	for _, o := range s.all {
-		if m, ok := o.(TellNode); ok && m.Message.Type == wire.End {
+		if m, ok := o.(SendServer); ok && m.Message.Type == wire.End {
 			legs = append(legs, m.Message.Leg)
 		}
 	}
@@ -173,7 +173,7 @@
 }
 
 // oneLeg is the only set-up sent.
-func (s *stage) oneLeg() TellNode {
+func (s *stage) oneLeg() SendServer {
 	s.t.Helper()
 	all := s.setups()
 	if len(all) != 1 {
@@ -205,6 +205,6 @@
 	}
 }
 
-func said(g TellNode, kind string) LinkSaid {
-	return LinkSaid{Link: g.Link, Message: wire.Node{Type: kind, Leg: g.Setup}}
+func said(g SendServer, kind string) LinkReceived {
+	return LinkReceived{Link: g.Link, Message: wire.Node{Type: kind, Leg: g.Setup}}
 }
--- a/internal/director/stop.go
+++ b/internal/director/stop.go
@@ -55,5 +55,5 @@
 }
 
 func (l *Loop) partFrom(c *conn, last bool) {
-	c.parting = l.closeClient(ClosePlayer{Conn: c.number, Code: 1001, Why: "director closes", Idle: !last})
+	c.parting = l.closeClient(CloseClient{Conn: c.number, Code: 1001, Why: "director closes", Idle: !last})
 }
--- a/internal/director/town_test.go
+++ b/internal/director/town_test.go
@@ -103,7 +103,7 @@
 	conn   uint64
 	made   bool
 	stuck  bool
-	queued []TellNode
+	queued []SendServer
 	legs   map[uint64]onNode
 }
 
@@ -167,7 +167,7 @@
 		limits.Queue{Wait: 200 * ms, Retry: 10 * time.Second})
 	p.loop.unguarded = c.unguarded
 	p.note(witness.Record{What: witness.Returned, Director: p.name()})
-	p.do(ListOpened{})
+	p.do(DiscoveryConnected{})
 }
 
 func (p *post) name() string { return fmt.Sprint("d", p.number) }
@@ -193,23 +193,23 @@
 
 func (p *post) carryOut(o Output) {
 	switch o := o.(type) {
-	case TellPlayer:
+	case SendClient:
 		if k := o.Message.Type; k == wire.Plays || k == wire.Nack || k == wire.Errored {
 			p.note(witness.Record{What: k, Director: p.name(), Conn: o.Conn, ID: o.Message.ID, Session: o.Message.Session})
 			if p.charter.rule == witness.RuleAnswer && k != wire.Plays {
 				p.bites++
 			}
 		}
-	case Welcome:
-		p.do(PlayerOpened(o))
-	case TurnAway:
+	case AcceptClient:
+		p.do(ClientAccepted(o))
+	case RejectClient:
 		p.conns = slices.DeleteFunc(p.conns, func(x uint64) bool { return x == o.Conn })
-	case ClosePlayer:
+	case CloseClient:
 		p.note(witness.Record{What: witness.Closed, Conn: o.Conn, By: witness.ByPeer, Why: fmt.Sprintf("%d %s", o.Code, o.Why)})
 		p.leave(o.Conn)
 	case Connect:
 		p.lines[o.Link] = &line{m: p.nodes[slices.IndexFunc(p.nodes, func(m *machine) bool { return m.name == o.Node })], legs: map[uint64]onNode{}}
-	case TellNode:
+	case SendServer:
 		l := p.lines[o.Link]
 		if l != nil && o.Message.Type == wire.End { // from now on it is no leg of this director, whenever the node hears of it
 			p.note(witness.Record{What: wire.End, Node: l.m.name, Conn: l.conn, Director: p.name(), Leg: o.Message.Leg})
@@ -226,16 +226,16 @@
 		}
 	case Withdraw:
 		if l := p.lines[o.Link]; l != nil {
-			if i := slices.IndexFunc(l.queued, func(q TellNode) bool { return q.Setup == o.Leg }); i >= 0 {
+			if i := slices.IndexFunc(l.queued, func(q SendServer) bool { return q.Setup == o.Leg }); i >= 0 {
 				l.queued = slices.Delete(l.queued, i, i+1)
 				p.do(Withdrawn{o.Leg})
 			}
 		}
-	case AskAlive:
+	case ProbeLink:
 		p.do(LinkAlive{Link: o.Link})
-	case HangUp:
+	case CloseLink:
 		p.hungUp(o.Link)
-	case TellList:
+	case SendDiscovery:
 		switch o.Message.Type {
 		case wire.Listen:
 			p.note(witness.Record{What: witness.Listens, Director: p.name()})
@@ -255,7 +255,7 @@
 }
 
 // deliver is a message that has reached its node.
-func (p *post) deliver(l *line, o TellNode) {
+func (p *post) deliver(l *line, o SendServer) {
 	m := o.Message
 	r := witness.Record{What: m.Type, Node: l.m.name, Conn: l.conn, Director: p.name(), Session: m.Session, Leg: m.Leg, Tariff: m.Tariff,
 		Title: m.Title, Rung: m.Rung, Within: time.Duration(m.Within) * ms}
@@ -279,7 +279,7 @@
 func (p *post) leave(conn uint64) {
 	p.conns = slices.DeleteFunc(p.conns, func(x uint64) bool { return x == conn })
 	p.asked = slices.DeleteFunc(p.asked, func(v viewer) bool { return v.conn == conn })
-	p.do(PlayerClosed{Conn: conn})
+	p.do(ClientLost{Conn: conn})
 }
 
 // hungUp is a connection's end as its node sees it.
@@ -336,7 +336,7 @@
 	if err != nil {
 		p.t.Fatal(err)
 	}
-	p.do(ListSaid{m})
+	p.do(DiscoveryReceived{m})
 }
 
 // pass lets time go by; a director that stands still catches up when its time has come.
@@ -460,7 +460,7 @@
 		if len(p.conns) == 0 || p.odds(2) && len(p.conns) < 40 {
 			p.numbers++
 			p.conns = append(p.conns, p.numbers)
-			p.do(PlayerKnocked{Conn: p.numbers, Address: netip.AddrFrom4([4]byte{10, 0, 0, byte(p.IntN(3))})})
+			p.do(ClientConnecting{Conn: p.numbers, Address: netip.AddrFrom4([4]byte{10, 0, 0, byte(p.IntN(3))})})
 		}
 		if len(p.conns) == 0 {
 			return // turned away: the director closes
@@ -497,7 +497,7 @@
 		p.note(witness.Record{What: wire.Leave, Director: p.name(), Conn: s.conn.number, ID: s.request})
 	}
 	p.note(r)
-	p.do(PlayerSaid{Conn: v.conn, Message: m, Waited: waited})
+	p.do(ClientReceived{Conn: v.conn, Message: m, Waited: waited})
 }
 
 // nodeAnswers lets a node say something of a leg, or of none that is known any more.
@@ -509,7 +509,7 @@
 		}
 	}
 	if len(legs) == 0 {
-		p.do(LinkSaid{Link: p.numbers, Message: wire.Node{Type: wire.Accepted, Leg: 1}}) // of a connection that is no more
+		p.do(LinkReceived{Link: p.numbers, Message: wire.Node{Type: wire.Accepted, Leg: 1}}) // of a connection that is no more
 		return
 	}
 	order := make([]int, len(legs))
@@ -550,7 +550,7 @@
 		if p.odds(3) {
 			m.Load = &wire.Load{Streams: new(one(p.town, []float64{0, 5, 1e6})), Link: new(p.Float64() * 2)}
 		}
-		p.do(LinkSaid{Link: links[i], Message: m})
+		p.do(LinkReceived{Link: links[i], Message: m})
 	}
 }
 
@@ -567,7 +567,7 @@
 	}
 	p.numbers++
 	l.made, l.conn = true, p.numbers
-	p.do(LinkMade{Node: l.m.name, Link: link})
+	p.do(LinkConnected{Node: l.m.name, Link: link})
 	if p.lines[link] == nil || p.odds(12) { // no greeting: what waits for it is cut off in its time
 		return
 	}
@@ -575,7 +575,7 @@
 	if p.charter.ages && l.m.born >= 0 {
 		hello.Age = max(1, (p.now - l.m.born).Milliseconds())
 	}
-	p.do(LinkSaid{Link: link, Message: hello})
+	p.do(LinkReceived{Link: link, Message: hello})
 }
 
 // nodeTurns ends a node's process or starts it anew, under the same name.
--- a/internal/emulator/crowd.go
+++ b/internal/emulator/crowd.go
@@ -96,7 +96,7 @@
 	c.conns++
 	s := &seat{v: v, conn: c.conns, post: p.number, boot: p.boot, id: strconv.Itoa(v.try + 1)}
 	c.seats[s.conn] = s
-	w.answer(at+w.delay(v.r), p, p.boot, director.PlayerKnocked{Conn: s.conn, Address: addressOf(s.conn)})
+	w.answer(at+w.delay(v.r), p, p.boot, director.ClientConnecting{Conn: s.conn, Address: addressOf(s.conn)})
 }
 
 // welcome lets a viewer ask who has been let in.
@@ -155,7 +155,7 @@
 		if err != nil {
 			panic(fmt.Sprintf("the model of the viewers said what is no message: %v", err))
 		}
-		p.step(at, director.PlayerSaid{Conn: s.conn, Message: message})
+		p.step(at, director.ClientReceived{Conn: s.conn, Message: message})
 	})
 }
 
@@ -253,7 +253,7 @@
 	}
 	c.close(at, s, "closed here", witness.ByUs)
 	p := c.w.posts[s.post]
-	c.w.answer(at+c.w.opt.Network.High, p, s.boot, director.PlayerClosed{Conn: s.conn})
+	c.w.answer(at+c.w.opt.Network.High, p, s.boot, director.ClientLost{Conn: s.conn})
 	c.end(at, s.v, e)
 }
 
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -150,39 +150,39 @@
 	w, boot := p.w, p.boot
 	for _, o := range outs {
 		switch o := o.(type) {
-		case director.TellPlayer:
+		case director.SendClient:
 			raw := wire.Encode(o.Message)
 			p.send(at, playerWay(o.Conn), func(at time.Duration) { w.playerHears(at, o.Conn, raw) })
-		case director.Welcome:
-			p.hear(at, director.PlayerOpened(o))
+		case director.AcceptClient:
+			p.hear(at, director.ClientAccepted(o))
 			p.send(at, playerWay(o.Conn), func(at time.Duration) { w.welcome(at, o.Conn) })
-		case director.TurnAway:
+		case director.RejectClient:
 			p.send(at, playerWay(o.Conn), func(at time.Duration) { w.playerClosed(at, o.Conn, "turned away", witness.ByPeer) })
-		case director.ClosePlayer:
-			p.hear(at, director.PlayerClosed{Conn: o.Conn})
+		case director.CloseClient:
+			p.hear(at, director.ClientLost{Conn: o.Conn})
 			why := fmt.Sprintf("closed by peer: %d %s", o.Code, o.Why)
 			p.send(at, playerWay(o.Conn), func(at time.Duration) { w.playerClosed(at, o.Conn, why, witness.ByPeer) })
 			delete(p.lasts, playerWay(o.Conn))
-		case director.AskPlayerAlive:
-			p.hear(at, director.PlayerAlive{Conn: o.Conn})
+		case director.ProbeClient:
+			p.hear(at, director.ClientAlive{Conn: o.Conn})
 		case director.Connect:
 			m := w.machine[o.Node]
 			p.nodes[o.Link] = m
 			dialled := at
 			p.send(at, linkWay(o.Link), func(at time.Duration) { w.dial(at, p, boot, m, o.Link, dialled+o.Within) })
-		case director.TellNode:
+		case director.SendServer:
 			raw := wire.Encode(o.Message)
 			p.send(at, linkWay(o.Link), func(at time.Duration) { w.nodeHears(at, wayTo{p.number, boot, o.Link}, raw) })
-		case director.AskAlive:
+		case director.ProbeLink:
 			quiet := time.Duration(0)
 			if since := w.deaf[p.nodes[o.Link]]; since >= 0 { // as it was when the window began
 				quiet = at - max(since, p.heard[o.Link])
 			}
 			p.hear(at, director.LinkAlive{Link: o.Link, Quiet: quiet})
-		case director.HangUp:
+		case director.CloseLink:
 			p.send(at, linkWay(o.Link), func(at time.Duration) { w.hungUp(at, wayTo{p.number, boot, o.Link}) })
 			p.forget(o.Link)
-		case director.TellList:
+		case director.SendDiscovery:
 			raw := wire.Encode(o.Message)
 			p.send(at, listWay, func(at time.Duration) { w.list.hears(at, p, boot, raw) })
 		case director.Withdraw: // what was sent has left: the kernel has it
@@ -222,7 +222,7 @@
 	p.began, p.up, p.stale = at, true, true
 	p.in = events{}
 	p.lasts, p.heard, p.nodes = map[uint64]time.Duration{}, map[uint64]time.Duration{}, map[uint64]int{}
-	p.hear(at+p.w.delay(p.chance), director.ListOpened{})
+	p.hear(at+p.w.delay(p.chance), director.DiscoveryConnected{})
 	return nil
 }
 
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -262,7 +262,7 @@
 	w.lastNo++
 	l := &link{wayTo: wayTo{p.number, boot, number}, number: w.lastNo, machine: m, last: back}
 	w.links[l.wayTo], w.numbers[l.number] = l, l
-	w.answer(back, p, boot, director.LinkMade{Node: w.layout.Machines[m].Name, Link: number})
+	w.answer(back, p, boot, director.LinkConnected{Node: w.layout.Machines[m].Name, Link: number})
 	w.nodesDo(at, w.farm.Opened(at, w.layout.Machines[m].Name, l.number))
 }
 
@@ -362,7 +362,7 @@
 			if _, there := p.nodes[number]; there {
 				p.heard[number] = at
 			}
-			p.step(at, director.LinkSaid{Link: number, Message: message})
+			p.step(at, director.LinkReceived{Link: number, Message: message})
 		})
 	}
 }
@@ -425,7 +425,7 @@
 		if err != nil {
 			panic(fmt.Sprintf("the model of the list said what is no message: %v", err))
 		}
-		p.step(at, director.ListSaid{Message: m})
+		p.step(at, director.DiscoveryReceived{Message: m})
 	})
 }
 
--- a/internal/load/idle.go
+++ b/internal/load/idle.go
@@ -346,8 +346,8 @@
 	l := house.Loop("1", 1, house.Module(1))
 	for i := range x.Connections {
 		at := netip.AddrFrom4([4]byte{127, byte(1 + i>>16), byte(i >> 8), byte(i)})
-		l.Step(time.Duration(i), director.PlayerKnocked{Conn: uint64(i + 1), Address: at})
-		l.Step(time.Duration(i), director.PlayerOpened{Conn: uint64(i + 1)})
+		l.Step(time.Duration(i), director.ClientConnecting{Conn: uint64(i + 1), Address: at})
+		l.Step(time.Duration(i), director.ClientAccepted{Conn: uint64(i + 1)})
 	}
 	bytes := (inUse() - before) / float64(x.Connections)
 	runtime.KeepAlive(l)
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -51,7 +51,7 @@
 
 // FromPlayer reads a viewers' message. What can't be used of a set-up reaches the loop all the same, which knows
 // whether its id is in use.
-func (f *Front) FromPlayer(raw []byte) (in director.PlayerSaid, reply []byte, err error) {
+func (f *Front) FromPlayer(raw []byte) (in director.ClientReceived, reply []byte, err error) {
 	m, err := readViewer(raw)
 	if err != nil {
 		return in, nil, err
@@ -89,7 +89,7 @@
 }
 
 // ToPlayer words an answer, or the end of a session. Viewers are told nothing of rungs.
-func (f *Front) ToPlayer(o director.TellPlayer) []byte {
+func (f *Front) ToPlayer(o director.SendClient) []byte {
 	m := o.Message
 	session := sessionNumber(m.ID)
 	switch m.Type {
@@ -117,7 +117,7 @@
 }
 
 // FromNode reads a media node's message.
-func (f *Front) FromNode(raw []byte) (in director.LinkSaid, reply []byte, err error) {
+func (f *Front) FromNode(raw []byte) (in director.LinkReceived, reply []byte, err error) {
 	m, err := readRTSP(raw)
 	if err != nil {
 		return in, nil, err
@@ -195,7 +195,7 @@
 }
 
 // ToNode words what a media node is to do.
-func (f *Front) ToNode(o director.TellNode) []byte {
+func (f *Front) ToNode(o director.SendServer) []byte {
 	m := o.Message
 	switch m.Type {
 	case wire.Setup:
--- a/internal/platform/settings_test.go
+++ b/internal/platform/settings_test.go
@@ -122,9 +122,9 @@
 		switch o := o.(type) {
 		case director.Connect:
 			c.links[o.Link] = o.Node
-		case director.HangUp:
+		case director.CloseLink:
 			delete(c.open, o.Link)
-		case director.ClosePlayer:
+		case director.CloseClient:
 			for _, w := range c.owed {
 				if !w.answered && !w.left {
 					c.Fatalf("the connection is closed that %s waits on: %+v", w.name, o)
@@ -133,7 +133,7 @@
 			closed = closed || o.Idle
 		case director.Ended:
 			c.ended = true
-		case director.TellNode:
+		case director.SendServer:
 			w := c.owed[o.Message.Session]
 			if w == nil {
 				continue
@@ -157,7 +157,7 @@
 			case wire.End:
 				w.out = false
 			}
-		case director.TellPlayer:
+		case director.SendClient:
 			w := c.owed[o.Message.ID]
 			if w == nil {
 				continue
@@ -180,7 +180,7 @@
 		}
 	}
 	if closed {
-		c.do(director.PlayerClosed{Conn: c.conn})
+		c.do(director.ClientLost{Conn: c.conn})
 		c.enter()
 	}
 }
@@ -188,8 +188,8 @@
 // enter connects the viewers.
 func (c *customer) enter() {
 	c.conn++
-	c.do(director.PlayerKnocked{Conn: c.conn})
-	c.do(director.PlayerOpened{Conn: c.conn})
+	c.do(director.ClientConnecting{Conn: c.conn})
+	c.do(director.ClientAccepted{Conn: c.conn})
 }
 
 func (c *customer) pass(d time.Duration) {
@@ -226,7 +226,7 @@
 		house := posting.House(time.Now())
 		c := &customer{T: t, posting: posting, owed: map[string]*owing{}, links: map[uint64]string{}, open: map[uint64]bool{},
 			drains: map[string]bool{}, loop: house.Loop("b", 1, posting.Module(1))}
-		c.do(director.ListSaid{Message: wire.List{Type: wire.Whole, Nodes: house.Nodes}})
+		c.do(director.DiscoveryReceived{Message: wire.List{Type: wire.Whole, Nodes: house.Nodes}})
 		c.enter()
 		classes := posting.trade.Tariffs()
 		front := NewFront(posting, house, time.Now)
@@ -259,7 +259,7 @@
 					}
 					if what == 4 {
 						c.open[link] = true
-						c.do(director.LinkMade{Node: node, Link: link})
+						c.do(director.LinkConnected{Node: node, Link: link})
 					} else {
 						delete(c.links, link)
 						c.do(director.LinkFailed{Node: node, Link: link, Refused: true})
@@ -271,17 +271,17 @@
 				w := c.owed[id]
 				kind := rapid.SampledFrom([]string{wire.Accepted, wire.Full, wire.Failed}).Draw(t, "kind")
 				w.out, w.ran = false, w.ran || kind != wire.Full
-				c.do(director.LinkSaid{Link: w.link, Message: wire.Node{Type: kind, Session: id}})
+				c.do(director.LinkReceived{Link: w.link, Message: wire.Node{Type: kind, Session: id}})
 			case what == 8 && len(ids) > 0:
 				id := rapid.SampledFrom(ids).Draw(t, "left")
 				c.owed[id].left = true
-				c.do(director.PlayerSaid{Conn: c.conn, Message: wire.Session{Type: wire.Leave, ID: id}, Brought: &director.Brought{}})
+				c.do(director.ClientReceived{Conn: c.conn, Message: wire.Session{Type: wire.Leave, ID: id}, Brought: &director.Brought{}})
 			case what == 9:
 				i := rapid.IntRange(0, 3).Draw(t, "node")
 				c.drains[nodeName(uint32(i))] = true
 				e := targets[i].entry(time.Now())
 				e.State = wire.Draining
-				c.do(director.ListSaid{Message: wire.List{Type: wire.Update, Nodes: []wire.Entry{e}}})
+				c.do(director.DiscoveryReceived{Message: wire.List{Type: wire.Update, Nodes: []wire.Entry{e}}})
 			}
 		}
 		// The order to stop: everything owed is answered, and it ends by itself before it is killed.
--- a/internal/platform/trace.go
+++ b/internal/platform/trace.go
@@ -55,7 +55,7 @@
 	t.mu.Unlock()
 }
 
-func (t *traced) FromPlayer(raw []byte) (in director.PlayerSaid, reply []byte, err error) {
+func (t *traced) FromPlayer(raw []byte) (in director.ClientReceived, reply []byte, err error) {
 	in, reply, err = t.Front.FromPlayer(raw)
 	switch {
 	case t.level == TraceBytes:
@@ -66,7 +66,7 @@
 	return in, reply, err
 }
 
-func (t *traced) FromNode(raw []byte) (in director.LinkSaid, reply []byte, err error) {
+func (t *traced) FromNode(raw []byte) (in director.LinkReceived, reply []byte, err error) {
 	in, reply, err = t.Front.FromNode(raw)
 	switch {
 	case t.level == TraceBytes:
@@ -89,7 +89,7 @@
 	return m, err
 }
 
-func (t *traced) ToPlayer(o director.TellPlayer) []byte {
+func (t *traced) ToPlayer(o director.SendClient) []byte {
 	raw := t.Front.ToPlayer(o)
 	if t.level == TraceBytes {
 		t.line(">viewer %s on %d %s %s %.200q", o.Message.ID, o.Conn, o.Message.Type, o.Message.Why, raw)
@@ -99,7 +99,7 @@
 	return raw
 }
 
-func (t *traced) ToNode(o director.TellNode) []byte {
+func (t *traced) ToNode(o director.SendServer) []byte {
 	raw := t.Front.ToNode(o)
 	if t.level == TraceBytes {
 		t.line(">node %s on %d %.300q", o.Message.Session, o.Link, raw)
--- a/internal/transport/handshake.go
+++ b/internal/transport/handshake.go
@@ -10,10 +10,10 @@
 	"github.com/gobwas/ws"
 )
 
-// A Gate is a Handler that wants to be asked before a handshake is answered: it calls Welcome or TurnAway on
+// A Gate is a Handler that wants to be asked before a handshake is answered: it calls Accept or Reject on
 // the connection, then or later, from any goroutine.
 type Gate interface {
-	Knock(c *Conn)
+	Connecting(c *Conn)
 }
 
 // both reads from one side and writes to the other: a handshake in memory.
@@ -26,8 +26,8 @@
 	c.fail(fmt.Errorf("%w: %v", ErrHandshake, why))
 }
 
-// Welcome answers a handshake that waits for the gate.
-func (c *Conn) Welcome() {
+// Accept answers a handshake that waits for the gate.
+func (c *Conn) Accept() {
 	if c.split != nil {
 		c.handler.Opened(c)
 		return
@@ -41,8 +41,8 @@
 	}
 }
 
-// TurnAway answers a handshake that waits for the gate with 503 and a time to come back.
-func (c *Conn) TurnAway(retry time.Duration, why string) {
+// Reject answers a handshake that waits for the gate with 503 and a time to come back.
+func (c *Conn) Reject(retry time.Duration, why string) {
 	if c.split != nil {
 		c.Close(closeLater, why)
 		return
--- a/internal/transport/plain.go
+++ b/internal/transport/plain.go
@@ -98,7 +98,7 @@
 			c.open = true
 			c.cameWhole()
 			if gate, ok := c.handler.(Gate); ok {
-				gate.Knock(c)
+				gate.Connecting(c)
 			} else {
 				c.handler.Opened(c)
 			}
--- a/internal/transport/read.go
+++ b/internal/transport/read.go
@@ -109,7 +109,7 @@
 			c.mu.Lock()
 			c.head = bytes.Clone(head)
 			c.mu.Unlock()
-			gate.Knock(c)
+			gate.Connecting(c)
 			return nil
 		}
 		if !c.upgrade(head) {
