Two tests wait for what they rely on: a drain heard, a lock held

Seen: the check failed once in TestAClientThatLeavesBetweenTwoAttempts/half-closes (its end was not seen, 10.2 s) and in a race of TestAPanicEndsTheInputAlone with its own stand-in. It sent its request right after discovery's event that the other server drains, without knowing that it was heard; where the request comes first the second attempt is answered there, and nothing is given up. With that event held back by 0.1 s it fails each time, all four ways to leave, with the same words after the same 10.2 s. So it is the test's order. Change: it waits until the module has heard the drain; the second reads its stand-in's count under its lock. What is asserted stays.

--- a/internal/platform/crossing_test.go
+++ b/internal/platform/crossing_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -144,14 +145,33 @@
 	}
 }
 
+// A drainWatch tells when its module has heard that a server drains.
+type drainWatch struct {
+	director.Decider
+	drains chan struct{}
+}
+
+func (w drainWatch) Step(now time.Duration, happened policy.Event) []policy.Action {
+	out := w.Decider.Step(now, happened)
+	if list, ok := happened.(policy.Roster); ok && slices.ContainsFunc(list.Entries, func(e policy.Entry) bool { return e.State == policy.Draining }) {
+		select {
+		case w.drains <- struct{}{}:
+		default:
+		}
+	}
+	return out
+}
+
 func TestAClientThatLeavesBetweenTwoAttempts(t *testing.T) {
 	for name, leave := range leaves {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			b := newBoard(t)
-			p := startWith(t, 2, b.ln.Addr().String(), settings, nil)
+			drains := make(chan struct{}, 1)
+			p := startWith(t, 2, b.ln.Addr().String(), settings, func(d director.Decider) director.Decider { return drainWatch{d, drains} })
 			_, board := b.next(t)
 			board.Write(event(4, 1, 1, p.nodes[1].ln.Addr().String())) // the other holder drains
+			<-drains                                                   // else the second attempt could go there at once
 			p.nodes[0].answers(func(s string) string { return answered(s, 500, "") })
 			v, last := p.viewer(), p.viewer()
 			place := map[byte]string{codePlace: "home:0;copies:2;top:1"}
--- a/internal/transport/plain_test.go
+++ b/internal/transport/plain_test.go
@@ -216,6 +216,8 @@
 	back.wait(t, "what is owed did not come", func() bool { return len(back.said) == 1 && back.said[0] == "\x02x" })
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	back.mu.Lock()
+	defer back.mu.Unlock()
 	if len(h.said) != 1 || h.closed != 0 || back.closed != 0 {
 		t.Fatalf("heard %q, closed %d", h.said, h.closed)
 	}
