--- a/internal/transport/accept.go
+++ b/internal/transport/accept.go
@@ -48,9 +48,11 @@
 			return nil, nil
 		case unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM, unix.EPERM:
 			if !l.resting.Swap(true) {
-				return nil, unix.ENFILE // the one that netpoll goes on after in a goroutine
+				return nil, unix.ENFILE // the one that netpoll goes on after in a goroutine, and complains of
 			}
+			complaints.Add(1)
 		default: // the connection's own end, a signal: the next one may be right
+			complaints.Add(1)
 			if !l.resting.Load() {
 				return nil, nil // called again while the socket is readable
 			}
--- a/internal/transport/plain_test.go
+++ b/internal/transport/plain_test.go
@@ -58,18 +58,25 @@
 
 var plainBounds = Bounds{Message: 64, Queue: 1 << 10, Write: time.Second, Handshake: 200 * time.Millisecond, Pending: 3}
 
-func TestPlainMessagesCrossWhole(t *testing.T) {
-	h := &heardPlain{echo: true}
-	s, err := ServePlain("127.0.0.1:0", byLine, plainBounds, h)
+// plainPair serves with one handler and dials with another.
+func plainPair(t *testing.T, server, client Handler, bounds Bounds) *Conn {
+	t.Helper()
+	s, err := ServePlain("127.0.0.1:0", byLine, plainBounds, server)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer s.Close()
-	back := &heardPlain{}
-	c, err := DialPlain(s.Address(), time.Second, byLine, plainBounds, back)
+	t.Cleanup(s.Close)
+	c, err := DialPlain(s.Address(), time.Second, byLine, bounds, client)
 	if err != nil {
 		t.Fatal(err)
 	}
+	return c
+}
+
+func TestPlainMessagesCrossWhole(t *testing.T) {
+	h := &heardPlain{echo: true}
+	back := &heardPlain{}
+	c := plainPair(t, h, back, plainBounds)
 	c.Send([]byte("\x03ab\x02"), 0)
 	c.Send([]byte("c"), 0)
 	back.wait(t, "not both came back", func() bool { return len(back.said) == 2 && back.said[1] == "\x02c" })
@@ -191,16 +198,8 @@
 // A handler that panics ends its peer's input and not the connection: what is owed on it still goes out.
 func TestAPanicEndsTheInputAlone(t *testing.T) {
 	h := &panicking{ended: make(chan *Conn, 1)}
-	s, err := ServePlain("127.0.0.1:0", byLine, plainBounds, h)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer s.Close()
 	back := &heardPlain{}
-	c, err := DialPlain(s.Address(), time.Second, byLine, plainBounds, back)
-	if err != nil {
-		t.Fatal(err)
-	}
+	c := plainPair(t, h, back, plainBounds)
 	c.Send([]byte("\x02a"), 0)
 	c.Send([]byte("\x02!"), 0)
 	var there *Conn
--- a/internal/transport/syscalls_test.go
+++ b/internal/transport/syscalls_test.go
@@ -58,16 +58,8 @@
 			faults := &faultyWrite{fault: fault, inARow: 3}
 			inject(t, systemCalls{write: faults.write})
 			h := &heardPlain{}
-			s, err := ServePlain("127.0.0.1:0", byLine, plainBounds, h)
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer s.Close()
 			back := &heardPlain{}
-			c, err := DialPlain(s.Address(), time.Second, byLine, plainBounds, back)
-			if err != nil {
-				t.Fatal(err)
-			}
+			c := plainPair(t, h, back, plainBounds)
 			const messages = 20
 			for i := range messages {
 				if !c.Send(fmt.Appendf(nil, "\x04%03d", i), uint64(i+1)) {
@@ -94,16 +86,8 @@
 	for _, fault := range []error{unix.EPIPE, unix.ECONNRESET, unix.ETIMEDOUT, unix.EHOSTUNREACH} {
 		t.Run(fault.Error(), func(t *testing.T) {
 			inject(t, systemCalls{write: func(int, []byte) (int, error) { return -1, fault }})
-			s, err := ServePlain("127.0.0.1:0", byLine, plainBounds, &heardPlain{})
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer s.Close()
 			back := &heardPlain{}
-			c, err := DialPlain(s.Address(), time.Second, byLine, plainBounds, back)
-			if err != nil {
-				t.Fatal(err)
-			}
+			c := plainPair(t, &heardPlain{}, back, plainBounds)
 			if c.Send([]byte("\x02a"), 1) {
 				t.Fatal("a message was taken")
 			}
@@ -115,18 +99,10 @@
 // A write that the kernel takes nothing of ends the connection after the write time-out, and names what never went out.
 func TestAWriteThatStandsStillEnds(t *testing.T) {
 	inject(t, systemCalls{write: func(int, []byte) (int, error) { return -1, unix.ENOBUFS }})
-	s, err := ServePlain("127.0.0.1:0", byLine, plainBounds, &heardPlain{})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer s.Close()
 	bounds := plainBounds
 	bounds.Write = 100 * time.Millisecond
 	ended := &endedPlain{why: make(chan error, 1)}
-	c, err := DialPlain(s.Address(), time.Second, byLine, bounds, ended)
-	if err != nil {
-		t.Fatal(err)
-	}
+	c := plainPair(t, &heardPlain{}, ended, bounds)
 	began := time.Now()
 	c.Send([]byte("\x02a"), 7)
 	select {
@@ -218,6 +194,7 @@
 			}
 			defer s.Close()
 			for range 2 { // and again after it went well
+				before := Complaints()
 				until.Store(int64(monotonic() + trouble))
 				back := &heardPlain{}
 				c, err := DialPlain(s.Address(), time.Second, byLine, plainBounds, back)
@@ -226,6 +203,9 @@
 				}
 				c.Send([]byte("\x02a"), 0)
 				back.wait(t, "no answer", func() bool { return len(back.said) == 1 })
+				if Complaints() == before {
+					t.Fatal("failed accepts are not counted")
+				}
 				if late := monotonic() - time.Duration(until.Load()); late > 200*time.Millisecond {
 					t.Fatalf("answered %v after the trouble was over", late)
 				}
@@ -284,16 +264,8 @@
 		return unix.Write(descriptor, p)
 	}})
 	server := &heardPlain{}
-	s, err := ServePlain("127.0.0.1:0", byLine, plainBounds, server)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer s.Close()
 	h := &expiring{expired: make(chan uint64, 10)}
-	c, err := DialPlain(s.Address(), time.Second, byLine, plainBounds, h)
-	if err != nil {
-		t.Fatal(err)
-	}
+	c := plainPair(t, server, h, plainBounds)
 	blocked.Store(true)
 	began := time.Now()
 	c.SendWithin([]byte("\x02a"), 7, 50*time.Millisecond)
