Soak: a director is ordered to stop only once it listens after a new start

Seen: the check failed once in TestASoakKeepsTheRules, 'director 0 ended by itself: signal: terminated'. By reading: a new start gave the claim on the director back when the process was started, not when it listens, so a second fault could send SIGTERM before the program had asked for the signal; on a busy machine that window is long. The fault is the soak's. Change: the claim is given back once it listens.

--- a/internal/soak/director.go
+++ b/internal/soak/director.go
@@ -120,7 +120,7 @@
 	ended := make(chan struct{})
 	d.mu.Lock()
 	d.life++
-	d.cmd, d.log, d.ended, d.stopped, d.asked = cmd, log, ended, time.Time{}, false
+	d.cmd, d.log, d.ended, d.asked = cmd, log, ended, false
 	life := d.life
 	d.mu.Unlock()
 	go func() {
@@ -131,6 +131,9 @@
 	for until := time.Now().Add(10 * time.Second); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
 		if c, err := net.Dial("tcp", d.address.String()); err == nil {
 			c.Close()
+			d.mu.Lock()
+			d.stopped = time.Time{} // only now: an order that comes before it listens for any ends it
+			d.mu.Unlock()
 			return nil
 		}
 	}
