Dropped messages, adopted sessions and told ends are logged, and drops counted by reason

The incident's logs can't tell whether a server's release reached the loop, whether a hand-over was taken, or whether an end was passed to a client.

--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -122,6 +122,11 @@
 		ch <- prometheus.MustNewConstMetric(violations, prometheus.CounterValue, float64(n), rule)
 	}
 	d.answerDelay.histogram.Collect(ch)
+	dropped := prometheus.NewDesc("fordusher_messages_dropped_total",
+		"messages of peers that nothing is done with, by reason", []string{"reason"}, nil)
+	for reason, n := range c.DroppedByReason() {
+		ch <- prometheus.MustNewConstMetric(dropped, prometheus.CounterValue, float64(n), reason)
+	}
 	neverRan := prometheus.NewDesc("fordusher_legs_never_ran_total",
 		"legs that provably never ran, by proof", []string{"proof"}, nil)
 	for reason, n := range c.NeverRanByReason() {
--- a/internal/director/client.go
+++ b/internal/director/client.go
@@ -124,7 +124,9 @@
 	if c == nil { // it closed a moment ago, or was rejected
 		if s := l.sessionsByKey[e.Message.ID]; l.options.Detached && e.Message.Type == wire.Cancel && s != nil && s.answered {
 			l.endDetached(s, e.Conn) // playing sessions are independent of connections, and so are requests to end them
+			return
 		}
+		l.dropClientMessage(DropMessageOnUnknownConn, e)
 		return
 	}
 	if c.rejected {
@@ -134,6 +136,7 @@
 	if c.closing { // the message crosses the close message, which says when to reconnect
 		l.event(Event{Kind: RequestRefused, Request: e.Message.ID, Conn: c.id, Reason: "its connection is being closed"})
 		l.counts.Unexpected++
+		l.dropClientMessage(DropMessageOnClosingConn, e)
 		return
 	}
 	l.stepLimits(limits.Event{Kind: limits.Received, Conn: int(c.slot)})
--- a/internal/director/detached.go
+++ b/internal/director/detached.go
@@ -68,6 +68,7 @@
 			l.abandonSession(s, "cancelled by the client")
 		default:
 			l.counts.Unexpected++
+			l.dropClientMessage(DropCancelOfUnknownSession, e)
 		}
 	default:
 		l.counts.Unexpected++
@@ -127,6 +128,7 @@
 	s.leg = g
 	l.sessions[s.id], l.sessionsByKey[s.key], l.legs[g.id], n.legs[g.id] = s, s, g, g
 	l.playing++
+	l.event(Event{Kind: SessionAdopted, Request: m.ID, Attempt: g.id, Server: n.name, Conn: c.id})
 	l.countPlaying(s, c)
 	l.updateLinkNeed(n)
 	top := len(l.ladder.Rates) - 1
@@ -157,14 +159,17 @@
 	m := wire.SessionMessage{Type: wire.SessionEnded, ID: s.request, Session: s.name, Reason: reason}
 	for _, id := range [...]uint64{s.originConn, l.lastProvenConn} {
 		if c := l.conns[id]; c != nil && !c.closing {
+			l.event(Event{Kind: SessionEnded, Request: s.request, Conn: id, Reason: reason})
 			l.emit(SendClient{Conn: id, Message: m})
 			return
 		}
 	}
 	if c := l.anyConn(func(c *conn) bool { return c.proven }); c != nil {
+		l.event(Event{Kind: SessionEnded, Request: s.request, Conn: c.id, Reason: reason})
 		l.emit(SendClient{Conn: c.id, Message: m})
 		return
 	}
+	l.event(Event{Kind: SessionEnded, Request: s.request, Reason: reason})
 	l.undelivered = append(l.undelivered, undeliveredEnding{m, l.now + undeliveredRetention})
 	l.dropExpiredUndelivered()
 	l.timers.Add(l.now+anyClientDelay, timer{timerUndelivered, 0})
@@ -192,6 +197,8 @@
 	l.dropExpiredUndelivered()
 	sent := 0
 	for ; sent < len(l.undelivered) && l.undelivered[sent].expiresAt-undeliveredRetention <= since; sent++ {
+		ending := l.undelivered[sent].message
+		l.event(Event{Kind: SessionEnded, Request: ending.ID, Conn: c.id, Reason: ending.Reason})
 		l.emit(SendClient{Conn: c.id, Message: l.undelivered[sent].message})
 	}
 	l.undelivered = l.undelivered[sent:]
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -149,6 +149,7 @@
 	RequestsShed                    uint64            // requests that had waited too long for an overloaded loop
 	Stalls                          uint64            // times that a timer ran more than 100 ms late
 	RefusedByRule                   [ruleCount]uint64 // violations that the guard prevented, by rule
+	Dropped                         [dropReasonCount]uint64
 }
 
 // ConnectionUsage returns the number of client connections, how many of them are busy, and the mode of the limits.
--- a/internal/director/events.go
+++ b/internal/director/events.go
@@ -17,11 +17,15 @@
 	ClientDisconnected // it has ended, whichever side closed it
 	ServerConnected
 	ServerDisconnected // a connection to a node has ended, or the director closes it
+	SessionAdopted     // a client has handed over a session that already plays
+	SessionEnded       // the end of a playing session was passed to a client's connection, or waits for one
+	MessageDropped     // the loop does nothing with a peer's message
 )
 
 var eventNames = [...]string{"request taken", "request answered", "request refused", "request abandoned", "attempt started",
 	"attempt sent", "attempt ended", "client connected", "client connection closed by the director",
-	"client disconnected", "server connected", "server disconnected"}
+	"client disconnected", "server connected", "server disconnected",
+	"session adopted", "session ended", "message dropped"}
 
 func (k EventKind) String() string { return eventNames[k] }
 
--- a/internal/director/nodes.go
+++ b/internal/director/nodes.go
@@ -57,6 +57,7 @@
 func (l *Loop) linkReceived(e LinkReceived) {
 	n, m := l.links[e.Link], e.Message
 	if n == nil {
+		l.dropNodeMessage(DropMessageOnUnknownLink, "", e)
 		return
 	}
 	n.lastUsed = l.now
@@ -70,6 +71,11 @@
 	}
 	if g == nil || g.node != n {
 		l.counts.Unexpected++
+		reason := DropMessageOfUnknownSession
+		if m.Type == wire.Ended {
+			reason = DropEndOfUnknownSession
+		}
+		l.dropNodeMessage(reason, n.name, e)
 		if m.Type == wire.Accepted && !l.options.Detached { // no session uses this leg any more
 			l.emit(SendNode{Link: e.Link, Message: wire.NodeMessage{Type: wire.End, Leg: m.Leg}})
 		}
