Ends of unknown sessions are kept for their hand-over, which they meet

Callers saw sessions that were over and stood for ever: a server's release that came before its session was handed over, or overtook the hand-over in the inbox, was dropped as unexpected, and the session was adopted afterwards.

A hand-over that meets a kept end is answered with the release. Keeping the order in the inbox was weighed instead: it helps only where the release comes second, and would make servers' answers wait behind clients' requests. What is lost when the table is full is the oldest, counted as kept_end.

--- a/internal/director/answer.go
+++ b/internal/director/answer.go
@@ -69,8 +69,9 @@
 	l.abandonSession(s, "no answer in time")
 }
 
-// The reasons for the end of a session that did not fail.
+// The reasons for the end of a session. Only the first two are not failures.
 const (
 	ReasonEnded          = "ended"           // it has come to its regular end
 	ReasonEndedElsewhere = "ended elsewhere" // its client ended it through its node or another connection, or it was moved
+	reasonNodeLost       = "node lost"       // its node, or the connection to it, was lost
 )
--- a/internal/director/attempt.go
+++ b/internal/director/attempt.go
@@ -204,13 +204,14 @@
 	s.leg = nil
 	if s.phase == sessionPlaying {
 		switch result {
-		case outcomeServed:
-			l.notifySessionEnded(s, ReasonEnded)
-		case outcomeEndedElsewhere:
-			l.notifySessionEnded(s, ReasonEndedElsewhere)
+		case outcomeServed, outcomeEndedElsewhere:
+			l.notifySessionEnded(s, endReason(result))
 		case outcomeBroken, outcomeReset:
 			l.counts.SessionsLost++
-			l.notifySessionEnded(s, "node lost")
+			l.notifySessionEnded(s, endReason(result))
+		}
+		if l.options.Detached {
+			l.keepOwnEnd(g, result)
 		}
 	} else if !s.answered {
 		l.setSessionPhase(s, sessionWaiting)
--- a/internal/director/detached.go
+++ b/internal/director/detached.go
@@ -68,7 +68,7 @@
 			l.abandonSession(s, "cancelled by the client")
 		default:
 			l.counts.Unexpected++
-			l.dropClientMessage(DropCancelOfUnknownSession, e)
+			l.dropClientMessage(DropCancelOfOtherRequest, e)
 		}
 	default:
 		l.counts.Unexpected++
@@ -122,6 +122,12 @@
 		l.notifyDetachedEnd(s, "its node is not known")
 		return
 	}
+	end, ended := l.keptEndOf(m.ID, n.name)
+	if ended {
+		l.counts.EndedEarly++
+		l.notifyDetachedEnd(s, endReason(end.outcome))
+		return
+	}
 	s.rung = l.tariffs[tariff].Floor
 	l.lastLeg++
 	g := &leg{id: l.lastLeg, session: s, node: n, phase: legPlaying, startedAt: l.now}
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -95,6 +95,9 @@
 	undelivered    []undeliveredEnding // endings without a connection to notify; emptied as they are sent or expire
 	lastProvenConn uint64              // connection of the latest session to start playing; 0: none
 
+	// Ends of sessions in detached mode: of unknown sessions, from nodes, and of the loop's own.
+	nodeEnds, ownEnds keptEnds
+
 	lastSession, lastLeg, lastLink uint64 // the latest ids
 
 	owed, playing           int // answers owed, sessions playing
@@ -119,7 +122,7 @@
 		limits: limits.New(seed, capacity), queue: limits.NewRequestQueue(seed, queue),
 		conns: map[uint64]*conn{}, sessions: map[uint64]*session{}, sessionsByKey: map[string]*session{},
 		legs: map[uint64]*leg{}, nodes: map[string]*node{}, links: map[uint64]*node{},
-		titles: map[string]title{},
+		titles: map[string]title{}, nodeEnds: newKeptEnds(), ownEnds: newKeptEnds(),
 	}
 	for i, t := range tariffs {
 		l.tariffIndex[t.Name] = i
@@ -145,6 +148,7 @@
 	Overdue, IllegalTransitions, Unexpected, LateAnswers, UnknownMessages uint64
 
 	SessionsLost                    uint64            // playing sessions that lost their node
+	EndedEarly                      uint64            // sessions handed over after their end
 	ClientsRejected, ClientsEvicted uint64            // client connections rejected, and idle ones evicted
 	RequestsShed                    uint64            // requests that had waited too long for an overloaded loop
 	Stalls                          uint64            // times that a timer ran more than 100 ms late
--- a/internal/director/dropped.go
+++ b/internal/director/dropped.go
@@ -7,17 +7,20 @@
 
 // The reasons. dropReasonCount is their number.
 const (
-	DropEndOfUnknownSession     DropReason = iota // a node ends a session that the loop does not have
+	DropEndOfUnknownSession     DropReason = iota // a node ends a session that the loop does not have; in detached mode: one that plays elsewhere
 	DropMessageOfUnknownSession                   // any other message of a node about a session or leg that the loop does not have
 	DropMessageOnUnknownLink                      // a node's message on a connection that has been given up
-	DropCancelOfUnknownSession                    // a client cancels a request or session that the loop does not have
+	DropCancelOfOtherRequest                      // a client cancels a request of another connection, which has no answer yet
 	DropMessageOnUnknownConn                      // a client's message on a connection that has ended
 	DropMessageOnClosingConn                      // a client's message on a connection that is being closed
+	DropRepeatedEnd                               // a node repeats the end of a session
+	DropKeptEnd                                   // an end that was kept, dropped before its time to make room
 	dropReasonCount
 )
 
 var dropReasonNames = [dropReasonCount]string{"end_of_unknown_session", "message_of_unknown_session", "message_on_unknown_link",
-	"cancel_of_unknown_session", "message_on_unknown_connection", "message_on_closing_connection"}
+	"cancel_of_other_request", "message_on_unknown_connection", "message_on_closing_connection",
+	"repeated_end", "kept_end"}
 
 func (r DropReason) String() string { return dropReasonNames[r] }
 
--- a/internal/director/events.go
+++ b/internal/director/events.go
@@ -19,13 +19,14 @@
 	ServerDisconnected // a connection to a node has ended, or the director closes it
 	SessionAdopted     // a client has handed over a session that already plays
 	SessionEnded       // the end of a playing session was passed to a client's connection, or waits for one
+	EndKept            // the end of a session that the loop does not have is kept for its hand-over
 	MessageDropped     // the loop does nothing with a peer's message
 )
 
 var eventNames = [...]string{"request taken", "request answered", "request refused", "request abandoned", "attempt started",
 	"attempt sent", "attempt ended", "client connected", "client connection closed by the director",
 	"client disconnected", "server connected", "server disconnected",
-	"session adopted", "session ended", "message dropped"}
+	"session adopted", "session ended", "end kept", "message dropped"}
 
 func (k EventKind) String() string { return eventNames[k] }
 
--- /dev/null
+++ b/internal/director/kept_ends_test.go
@@ -0,0 +1,88 @@
+package director
+
+import (
+	"fmt"
+	"testing"
+
+	"fordusher/internal/wire"
+)
+
+// handOver hands over on a client connection a session that plays on the first node.
+func (h *harness) handOver(conn uint64, id string) {
+	h.t.Helper()
+	h.step(ClientReceived{Conn: conn, Message: wire.SessionMessage{Type: wire.Request, ID: id, Key: id, Tariff: "clip", Title: "t"},
+		Details: &RequestDetails{Copies: 8, PlayingOn: nodeName(0)}})
+}
+
+// requireEnded checks that the client was notified so many times of the end of session a, for the given reason, and that
+// no session is left.
+func (h *harness) requireEnded(times int, reason string) {
+	h.t.Helper()
+	ended := h.clientMessages(wire.SessionEnded)
+	if len(ended) != times {
+		h.t.Fatalf("%d ends were sent, want %d", len(ended), times)
+	}
+	for _, m := range ended {
+		if m.ID != "a" || m.Reason != reason {
+			h.t.Fatalf("%+v, want the end of a for the reason %q", m, reason)
+		}
+	}
+	h.requireNoState()
+}
+
+// A session's end comes before its hand-over, from its node with each cause. Guards against a session that is adopted
+// after its end: its client would wait for ever.
+func TestEndBeforeHandOver(t *testing.T) {
+	for cause, reason := range map[string]string{"": ReasonEnded, wire.Cancelled: ReasonEndedElsewhere, wire.Lost: reasonNodeLost} {
+		h := newDetachedHarness(t, 1)
+		end := detachedReply(h.links[nodeName(0)], "a", wire.Ended)
+		end.Message.Reason = cause
+		h.step(end)
+		h.advance(keptEndRetention - 1)
+		h.handOver(1, "a")
+		h.requireEnded(1, reason)
+	}
+}
+
+// A session is handed over once more after its end was sent, for example on another connection. Guards against a second
+// adoption, which nothing would end.
+func TestHandOverAfterEndWasSent(t *testing.T) {
+	h := newDetachedHarness(t, 1)
+	h.handOver(1, "a")
+	h.step(detachedReply(h.links[nodeName(0)], "a", wire.Ended))
+	h.connectClient(2)
+	h.handOver(2, "a")
+	h.requireEnded(2, ReasonEnded)
+}
+
+// Another node ends a session of the same name, such as an earlier attempt of it. Guards against the end of a session
+// that plays.
+func TestEndOnAnotherNodeDoesNotConcernHandOver(t *testing.T) {
+	h := newDetachedHarness(t, 2)
+	h.step(detachedReply(h.links[nodeName(1)], "a", wire.Ended))
+	h.handOver(1, "a")
+	if h.loop.playing != 1 || len(h.clientMessages(wire.SessionEnded)) != 0 {
+		t.Fatal("the session does not play")
+	}
+}
+
+// More ends come than are kept, and the oldest is dropped, which is counted. After keptEndRetention none is left.
+func TestKeptEndsAreBounded(t *testing.T) {
+	h := newDetachedHarness(t, 1)
+	for i := range maxKeptEnds + 1 {
+		h.step(detachedReply(h.links[nodeName(0)], fmt.Sprint(i), wire.Ended))
+	}
+	h.handOver(1, "0") // its end was dropped
+	h.handOver(1, "1")
+	if ends := h.clientMessages(wire.SessionEnded); len(ends) != 1 || ends[0].ID != "1" {
+		t.Fatalf("%+v", ends)
+	}
+	if c := h.loop.counts; c.Dropped[DropKeptEnd] != 1 || c.EndedEarly != 1 {
+		t.Fatalf("%d dropped, %d early ends, want 1 and 1", c.Dropped[DropKeptEnd], c.EndedEarly)
+	}
+	h.now += keptEndRetention
+	h.step(detachedReply(h.links[nodeName(0)], "last", wire.Ended))
+	if n := h.loop.nodeEnds.len(); n != 1 {
+		t.Fatalf("%d ends are kept after %v, want 1", n, keptEndRetention)
+	}
+}
--- a/internal/director/nodes.go
+++ b/internal/director/nodes.go
@@ -70,6 +70,10 @@
 		g = l.findDetachedLeg(n, e)
 	}
 	if g == nil || g.node != n {
+		if l.options.Detached && m.Type == wire.Ended && l.sessionsByKey[m.Session] == nil {
+			l.keepNodeEnd(n, e)
+			return
+		}
 		l.counts.Unexpected++
 		reason := DropMessageOfUnknownSession
 		if m.Type == wire.Ended {
@@ -113,12 +117,8 @@
 			l.endLeg(g, outcomeReset, m.Load)
 		case g.phase != legPlaying:
 			l.endLeg(g, outcomeFailed, m.Load)
-		case m.Reason == wire.Lost:
-			l.endLeg(g, outcomeBroken, m.Load)
-		case m.Reason == wire.Cancelled:
-			l.endLeg(g, outcomeEndedElsewhere, m.Load)
 		default:
-			l.endLeg(g, outcomeServed, m.Load)
+			l.endLeg(g, endOutcome(m), m.Load)
 		}
 	case wire.Measurement:
 		l.notifyDecider(policy.Measurement{ID: g.session.id, Node: n.name,
