A client's cancellation that overtakes its session's hand-over ends the session

A cancellation of a session that the loop does not have was dropped; the session was adopted afterwards and went on at its server though its client had left it. It comes early on another connection than the hand-over's, or where the inbox puts a cancellation ahead of the queue. It is now kept like a server's end (8 s, 10,000, in a table of its own, so that clients can't crowd out servers' ends), and the hand-over that meets it ends the session at its server. TestCancelBeforeHandOver failed before (0 end messages, want 1) and passes.

--- a/internal/director/detached.go
+++ b/internal/director/detached.go
@@ -66,6 +66,8 @@
 			l.endDetached(s, c.id)
 		case s != nil && s.conn == c:
 			l.abandonSession(s, "cancelled by the client")
+		case s == nil:
+			l.keepCancel(e)
 		default:
 			l.counts.Unexpected++
 			l.dropClientMessage(DropCancelOfOtherRequest, e)
@@ -123,7 +125,7 @@
 		return
 	}
 	end, ended := l.keptEndOf(m.ID, n.name)
-	if ended {
+	if ended && end.conn == 0 {
 		l.counts.EndedEarly++
 		l.notifyDetachedEnd(s, endReason(end.outcome))
 		return
@@ -146,6 +148,10 @@
 		MaxRung: top, Deadline: l.now,
 		PlayingOn: n.name,
 	})
+	if ended { // its node has to be notified
+		l.counts.EndedEarly++
+		l.endDetached(s, end.conn)
+	}
 }
 
 // countPlaying counts a playing session on the connection that it was requested on. The connection is proven now and
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -95,8 +95,8 @@
 	undelivered    []undeliveredEnding // endings without a connection to notify; emptied as they are sent or expire
 	lastProvenConn uint64              // connection of the latest session to start playing; 0: none
 
-	// Ends of sessions in detached mode: of unknown sessions, from nodes, and of the loop's own.
-	nodeEnds, ownEnds keptEnds
+	// Ends of sessions in detached mode: of unknown sessions, from nodes and from clients, and of the loop's own.
+	nodeEnds, clientEnds, ownEnds keptEnds
 
 	lastSession, lastLeg, lastLink uint64 // the latest ids
 
@@ -122,7 +122,7 @@
 		limits: limits.New(seed, capacity), queue: limits.NewRequestQueue(seed, queue),
 		conns: map[uint64]*conn{}, sessions: map[uint64]*session{}, sessionsByKey: map[string]*session{},
 		legs: map[uint64]*leg{}, nodes: map[string]*node{}, links: map[uint64]*node{},
-		titles: map[string]title{}, nodeEnds: newKeptEnds(), ownEnds: newKeptEnds(),
+		titles: map[string]title{}, nodeEnds: newKeptEnds(), clientEnds: newKeptEnds(), ownEnds: newKeptEnds(),
 	}
 	for i, t := range tariffs {
 		l.tariffIndex[t.Name] = i
--- a/internal/director/kept_ends.go
+++ b/internal/director/kept_ends.go
@@ -18,12 +18,14 @@
 const maxKeptEnds = 10_000
 
 // An endedSession identifies a session that has ended, by the name of the session and of the node that it played on.
+// Node is empty if a client has ended it, wherever it plays.
 type endedSession struct{ session, node string }
 
 // A keptEnd is the end of a session.
 type keptEnd struct {
 	key       endedSession
 	outcome   legOutcome
+	conn      uint64 // the client connection that ended it; 0: a node did
 	expiresAt time.Duration
 }
 
@@ -89,6 +91,14 @@
 	}
 }
 
+// keepCancel keeps a client's cancellation of a session that the loop does not have.
+func (l *Loop) keepCancel(e ClientReceived) {
+	l.event(Event{Kind: EndKept, Request: e.Message.ID, Conn: e.Conn, Reason: "cancelled by a client"})
+	if l.clientEnds.add(l.now, keptEnd{key: endedSession{session: e.Message.ID}, outcome: outcomeCancelled, conn: e.Conn}) {
+		l.counts.Dropped[DropKeptEnd]++
+	}
+}
+
 // keepOwnEnd keeps the end of a playing session of the loop.
 func (l *Loop) keepOwnEnd(g *leg, outcome legOutcome) {
 	l.ownEnds.add(l.now, keptEnd{key: endedSession{g.session.name, g.node.name}, outcome: outcome})
@@ -96,10 +106,12 @@
 
 // keptEndOf returns the end that is kept for a session that plays on a node according to its client.
 func (l *Loop) keptEndOf(session, node string) (end keptEnd, ok bool) {
-	if end, ok = l.nodeEnds.find(l.now, endedSession{session, node}); ok {
-		return end, true
+	for _, kept := range []*keptEnds{&l.nodeEnds, &l.ownEnds} {
+		if end, ok = kept.find(l.now, endedSession{session, node}); ok {
+			return end, true
+		}
 	}
-	return l.ownEnds.find(l.now, endedSession{session, node})
+	return l.clientEnds.find(l.now, endedSession{session: session})
 }
 
 // endOutcome returns the outcome of a playing leg whose node reports its end.
--- a/internal/director/kept_ends_test.go
+++ b/internal/director/kept_ends_test.go
@@ -86,3 +86,19 @@
 		t.Fatalf("%d ends are kept after %v, want 1", n, keptEndRetention)
 	}
 }
+
+// A client's cancellation comes before the session is handed over, on the same or on another connection. Guards against
+// a session that goes on at its node though its client has left it.
+func TestCancelBeforeHandOver(t *testing.T) {
+	for _, conn := range []uint64{1, 2} {
+		h := newDetachedHarness(t, 1)
+		h.connectClient(2)
+		h.clearOutputs()
+		h.step(ClientReceived{Conn: conn, Message: wire.SessionMessage{Type: wire.Cancel, ID: "a"}})
+		h.handOver(1, "a")
+		if len(h.endedLegs()) != 1 {
+			t.Fatalf("connection %d: the node got %d end messages, want 1", conn, len(h.endedLegs()))
+		}
+		h.requireNoState()
+	}
+}
