A hand-over or cancellation on a connection that ends concerns its session all the same

A session that plays belongs to no connection, but a message that hands one over was dropped on a connection whose record was gone, and so were hand-overs and cancellations on one that was being closed. All three are now handled as on any other connection; the ending connection isn't counted as the session's. TestHandOverAndCancelOnEndingConnection failed before (the session does not play) and passes. The test for a request that starts a session stood in two packages; it is now a method of the message.

--- a/internal/daemon/clients.go
+++ b/internal/daemon/clients.go
@@ -50,7 +50,7 @@
 	if in.Message.Type == "" {
 		return
 	}
-	if isNewRequest(in) && int(p.pending.Load()) >= h.d.config.ConnectionLimits.InboxSize {
+	if in.StartsSession() && int(p.pending.Load()) >= h.d.config.ConnectionLimits.InboxSize {
 		h.d.rejectRequest(c, in)
 		return
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -182,7 +182,7 @@
 	case director.LinkReceived:
 		d.answerDelay.readAt = i.receivedAt
 	case director.ClientReceived:
-		if d.config.ProtocolOptions.Linger == 0 && isNewRequest(e) &&
+		if d.config.ProtocolOptions.Linger == 0 && e.StartsSession() &&
 			(i.peer.disconnected.Load() || d.inbox.wasCancelled(i.peer, e.Message.ID)) {
 			return false // The client cancelled or disconnected while the request waited: it needs no answer and starts no leg.
 		}
--- a/internal/daemon/inbox.go
+++ b/internal/daemon/inbox.go
@@ -8,7 +8,6 @@
 
 	"fordusher/internal/director"
 	"fordusher/internal/transport"
-	"fordusher/internal/wire"
 )
 
 // An item is one input for the loop, with the connection that it introduces, if any.
@@ -125,7 +124,7 @@
 	queued := false
 	for k, x := range i.peer.queued {
 		e, ok := x.input.(director.ClientReceived)
-		if ok && e.Message.ID == id && isNewRequest(e) {
+		if ok && e.Message.ID == id && e.StartsSession() {
 			i.peer.queued = slices.Delete(i.peer.queued, k, k+1)
 			b.queuedCount--
 			b.mu.Unlock()
@@ -169,7 +168,7 @@
 		before := len(p.queued)
 		p.queued = slices.DeleteFunc(p.queued, func(x item) bool {
 			e, ok := x.input.(director.ClientReceived)
-			return ok && isNewRequest(e)
+			return ok && e.StartsSession()
 		})
 		b.queuedCount -= before - len(p.queued)
 		p.pending.Add(int32(len(p.queued) - before))
@@ -187,11 +186,6 @@
 	b.signal()
 }
 
-// isNewRequest reports whether a message requests a session that is not playing yet.
-func isNewRequest(e director.ClientReceived) bool {
-	return e.Message.Type == wire.Request && (e.Details == nil || e.Details.PlayingOn == "")
-}
-
 // queueLength returns the number of queued client items.
 func (b *inbox) queueLength() int {
 	b.mu.Lock()
--- a/internal/director/client.go
+++ b/internal/director/client.go
@@ -121,11 +121,14 @@
 
 func (l *Loop) clientReceived(e ClientReceived) {
 	c := l.conns[e.Conn]
-	if c == nil { // it closed a moment ago, or was rejected
-		if s := l.sessionsByKey[e.Message.ID]; l.options.Detached && e.Message.Type == wire.Cancel && s != nil && s.answered {
-			l.endDetached(s, e.Conn) // playing sessions are independent of connections, and so are requests to end them
-			return
+	if l.options.Detached && (c == nil || c.closing && !c.rejected) && !e.StartsSession() {
+		if c == nil {
+			c = &conn{id: e.Conn, closing: true}
 		}
+		l.detachedReceived(c, e) // what concerns a playing session is independent of connections
+		return
+	}
+	if c == nil { // it closed a moment ago, or was rejected
 		l.dropClientMessage(DropMessageOnUnknownConn, e)
 		return
 	}
--- a/internal/director/detached.go
+++ b/internal/director/detached.go
@@ -155,9 +155,9 @@
 }
 
 // countPlaying counts a playing session on the connection that it was requested on. The connection is proven now and
-// not evicted before the session ends, and undelivered endings are sent on it.
+// not evicted before the session ends, and undelivered endings are sent on it. A connection that is about to end is not counted.
 func (l *Loop) countPlaying(s *session, c *conn) {
-	if c.rejected {
+	if c.rejected || c.closing {
 		return
 	}
 	s.countedOnOrigin, c.proven, l.lastProvenConn = true, true, c.id
--- a/internal/director/kept_ends_test.go
+++ b/internal/director/kept_ends_test.go
@@ -102,3 +102,26 @@
 		h.requireNoState()
 	}
 }
+
+// A session is handed over, and later cancelled, on a connection that has ended or is being closed. Guards against
+// messages about a playing session that are lost with a connection, of which the session is independent.
+func TestHandOverAndCancelOnEndingConnection(t *testing.T) {
+	for name, end := range map[string]func(h *harness){
+		"ended":        func(h *harness) { h.step(ClientLost{Conn: 2}) },
+		"being closed": func(h *harness) { h.loop.conns[2].closing = true },
+	} {
+		h := newDetachedHarness(t, 1)
+		h.connectClient(2)
+		end(h)
+		h.clearOutputs()
+		h.handOver(2, "a")
+		if h.loop.playing != 1 {
+			t.Fatalf("connection %s: the session does not play", name)
+		}
+		h.step(ClientReceived{Conn: 2, Message: wire.SessionMessage{Type: wire.Cancel, ID: "a"}})
+		if len(h.endedLegs()) != 1 {
+			t.Fatalf("connection %s: the node got %d end messages, want 1", name, len(h.endedLegs()))
+		}
+		h.requireNoState()
+	}
+}
--- a/internal/director/messages.go
+++ b/internal/director/messages.go
@@ -94,6 +94,11 @@
 	Stop struct{}
 )
 
+// StartsSession reports whether the message requests a session that does not play yet.
+func (e ClientReceived) StartsSession() bool {
+	return e.Message.Type == wire.Request && (e.Details == nil || e.Details.PlayingOn == "")
+}
+
 func (ClientConnecting) input()   {}
 func (ClientAccepted) input()     {}
 func (MemoryUsage) input()        {}
