Connections to servers are closed on the sending side first, and read until the server closes

Callers saw a session that was over and stood for ever where its server had written the release on a connection that the director closed at that moment, because another had replaced it: the server sends it on no other connection, since the new one was opened before. The close was an abort, and the record of the connection was gone at once.

Set-ups that end with it are ended on the wire first. Aborted as before are connections whose descriptor is needed at once (the server repeats the release on the next one), or at whose address another process may be.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -259,7 +259,10 @@
 				d.inbox.put(item{input: director.ClientAlive{Conn: o.Conn, IdleFor: c.ReadIdleTime()}})
 			}
 		case director.CloseLink:
-			if c := d.links[o.Link]; c != nil {
+			if c := d.links[o.Link]; c == nil {
+			} else if o.ReadOn > 0 {
+				c.CloseWrite(o.ReadOn)
+			} else {
 				c.Abort()
 			}
 		case director.Connect:
--- a/internal/director/connections.go
+++ b/internal/director/connections.go
@@ -40,7 +40,9 @@
 }
 
 // linkDescriptors returns the number of descriptors that connections to nodes use.
-func (l *Loop) linkDescriptors() int { return len(l.links) + l.connector.Dialing() }
+func (l *Loop) linkDescriptors() int {
+	return len(l.links) + len(l.closingLinks) + l.connector.Dialing()
+}
 
 // admitLink asks the limits whether one more connection to a node may be made. If the limits ask for it, admitLink
 // first closes the unneeded connection that was used least recently.
@@ -128,14 +130,14 @@
 	n := l.links[e.Link]
 	if n == nil || n.link != e.Link && n.probeLink != e.Link {
 		l.event(Event{Kind: ServerDisconnected, Server: e.Node, Link: e.Link, Reason: string(closedAsUnknown)})
-		l.emit(CloseLink{e.Link})
+		l.emit(CloseLink{Link: e.Link})
 		return
 	}
 	if n.probeLink == e.Link {
 		l.replaceLink(n)
 	}
 	if !n.listed && l.options.Detached { // another server may use the address by now
-		l.closeLink(n, e.Link, closedAsUnlisted)
+		l.closeLink(n, e.Link, closedAsUnknown)
 		l.linkFailed(LinkFailed{Node: e.Node, Link: e.Link})
 		l.nodeDead(n)
 		return
@@ -215,6 +217,7 @@
 func (l *Loop) linkLost(e LinkLost) {
 	n := l.links[e.Link]
 	if n == nil {
+		delete(l.closingLinks, e.Link)
 		return
 	}
 	delete(l.links, e.Link)
--- a/internal/director/deadlines.go
+++ b/internal/director/deadlines.go
@@ -85,6 +85,8 @@
 		l.stepShutdown()
 	case timerUndelivered:
 		l.deliverToAnyClient()
+	case timerClosingLink:
+		delete(l.closingLinks, t.id)
 	case timerRejected:
 		if c := l.conns[t.id]; c != nil && c.rejected {
 			l.closeClient(CloseClient{Conn: t.id, Code: 1013, Reason: "no room"})
--- a/internal/director/detached.go
+++ b/internal/director/detached.go
@@ -227,7 +227,7 @@
 // the connection of its set-up count. This excludes an answer to an earlier leg or on an earlier connection.
 func (l *Loop) findDetachedLeg(n *node, e LinkReceived) *leg {
 	s := l.sessionsByKey[e.Message.Session]
-	if s == nil || s.leg == nil || s.leg.node != n || s.leg.phase == legWaiting || s.leg.phase == legSent && s.leg.link != e.Link {
+	if s == nil || s.leg == nil || s.leg.node.name != n.name || s.leg.phase == legWaiting || s.leg.phase == legSent && s.leg.link != e.Link {
 		return nil
 	}
 	return s.leg
--- a/internal/director/events.go
+++ b/internal/director/events.go
@@ -70,25 +70,3 @@
 			Link: g.link, Reason: reason})
 	}
 }
-
-// closeLink closes a connection to a node.
-func (l *Loop) closeLink(n *node, link uint64, reason closeReason) {
-	l.event(Event{Kind: ServerDisconnected, Server: n.name, Link: link, Reason: string(reason)})
-	l.emit(CloseLink{link})
-}
-
-// A closeReason is why the director closes a connection to a node, for logs.
-type closeReason string
-
-const (
-	closedAsIdle         closeReason = "idle"
-	closedForDescriptors closeReason = "its descriptor is needed for another server connection"
-	closedAsUnknown      closeReason = "the connection was not expected"
-	closedAsUnlisted     closeReason = "the server is no longer on the list"
-	closedAsMoved        closeReason = "the server has another address"
-	closedAsProbeFailed  closeReason = "the connection attempt to probe it failed"
-	closedAsUnresponsive closeReason = "nothing was received"
-	closedAsRestarted    closeReason = "the server has restarted"
-	closedAsReplaced     closeReason = "replaced by the connection made to probe it"
-	closedAsSuperseded   closeReason = "its replacement has been replaced"
-)
--- a/internal/director/kept_ends_test.go
+++ b/internal/director/kept_ends_test.go
@@ -125,3 +125,27 @@
 		h.requireNoState()
 	}
 }
+
+// A node sends a session's end on a connection that the director is closing because another has replaced it. Guards
+// against an end that nobody reads. The node gets an end message for a set-up that is given up with its connection.
+func TestEndOnClosingLink(t *testing.T) {
+	h := newDetachedHarness(t, 1)
+	setup := h.playDetached("a", "clip")
+	h.requestDetached(1, "b", "clip")
+	h.advance(500 * ms) // past the leg's deadline; a probe connection is made
+	h.requestDetached(1, "c", "exam")
+	h.step(LinkConnected{nodeName(0), h.links[nodeName(0)]})
+	if closed := h.closedLinks(); len(closed) != 1 || closed[0] != setup.Link {
+		t.Fatalf("closed %v, want the replaced link", closed)
+	}
+	used := h.loop.linkDescriptors()
+	h.clearOutputs()
+	h.step(detachedReply(setup.Link, "a", wire.Ended))
+	if len(h.clientMessages(wire.SessionEnded)) != 1 {
+		t.Fatal("the client was not notified")
+	}
+	h.advance(closingLinkTimeout)
+	if len(h.loop.closingLinks) != 0 || h.loop.linkDescriptors() != used-1 {
+		t.Fatalf("%d links are read after %v", len(h.loop.closingLinks), closingLinkTimeout)
+	}
+}
--- a/internal/director/messages.go
+++ b/internal/director/messages.go
@@ -177,8 +177,12 @@
 	ProbeLink struct{ Link uint64 }
 	// ProbeClient pings a client; ClientAlive answers at once with its idle time.
 	ProbeClient struct{ Conn uint64 }
-	// CloseLink closes a connection to a node.
-	CloseLink struct{ Link uint64 }
+	// CloseLink closes a connection to a node. If ReadOn is above 0, only the sending side is closed at once, and what the
+	// node sends is read until it closes its own side, or for that long.
+	CloseLink struct {
+		Link   uint64
+		ReadOn time.Duration
+	}
 	// SendDiscovery sends a message to discovery.
 	SendDiscovery struct{ Message wire.DiscoveryMessage }
 	// Log is a line for the log.
--- a/internal/director/nodes.go
+++ b/internal/director/nodes.go
@@ -56,6 +56,9 @@
 
 func (l *Loop) linkReceived(e LinkReceived) {
 	n, m := l.links[e.Link], e.Message
+	if n == nil {
+		n = l.closingLinks[e.Link]
+	}
 	if n == nil {
 		l.dropNodeMessage(DropMessageOnUnknownLink, "", e)
 		return
@@ -69,7 +72,7 @@
 	if l.options.Detached {
 		g = l.findDetachedLeg(n, e)
 	}
-	if g == nil || g.node != n {
+	if g == nil || g.node.name != n.name {
 		if l.options.Detached && m.Type == wire.Ended && l.sessionsByKey[m.Session] == nil {
 			l.keepNodeEnd(n, e)
 			return
--- a/internal/director/timers.go
+++ b/internal/director/timers.go
@@ -16,6 +16,7 @@
 	timerShutdown                     // the next step of the shutdown
 	timerUndelivered                  // undelivered endings go to any client
 	timerRejected                     // a rejected client connection is closed
+	timerClosingLink                  // a closed link is no longer read
 )
 
 // A timer is an entry of timerQueue: its kind, and the id of the session, leg or connection that it is for.
--- a/internal/transport/close.go
+++ b/internal/transport/close.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"time"
 	"unicode/utf8"
 
 	"github.com/cloudwego/netpoll"
@@ -97,6 +98,22 @@
 	return text
 }
 
+// CloseWrite ends the sending side after the queued messages have been written. Messages that the peer sends before it
+// closes its own side are still passed to the handler. The connection ends when the peer closes it, at the latest after
+// the given time. Nothing can be sent after the call.
+func (c *Conn) CloseWrite(limit time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closeErr != nil || c.sendClosed || !c.usable {
+		return
+	}
+	c.sendClosed, c.readingOn = true, true
+	if !c.writing {
+		c.raw.closeWrite()
+	}
+	time.AfterFunc(limit, c.Abort)
+}
+
 // Abort ends the connection at once and drops the queued messages.
 func (c *Conn) Abort() { c.closeNow(ErrClosedLocally) }
 
--- a/internal/transport/linger.go
+++ b/internal/transport/linger.go
@@ -11,6 +11,9 @@
 	_ = unix.SetsockoptLinger(fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1, Linger: 0})
 }
 
+// shutdownWrite ends the sending side of the socket. What the peer sends can still be read.
+func shutdownWrite(fd int) { _ = unix.Shutdown(fd, unix.SHUT_WR) }
+
 // setUserTimeout limits how long the kernel tries to send to a peer that acknowledges nothing, also after the close.
 // Otherwise unsent bytes would stay in the kernel for minutes, and the peer would not learn of the close.
 func setUserTimeout(fd int, timeout time.Duration) {
--- a/internal/transport/memory.go
+++ b/internal/transport/memory.go
@@ -76,6 +76,8 @@
 
 func (m *memoryConn) resetOnClose() {}
 
+func (m *memoryConn) closeWrite() {}
+
 func (m *memoryConn) setCloseTimeout(time.Duration) {}
 
 func (m *memoryConn) Close() error { return m.conn.onClosed(nil) }
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -74,6 +74,7 @@
 	writing           bool         // a goroutine is running writeQueue
 	closeErr          error        // set once the connection is to end
 	sendClosed        bool         // no further frame is accepted; the close frame or error response, if any, is queued
+	readingOn         bool         // CloseWrite was called: only the sending side ends, once the queue is written
 	lastRead          atomic.Int64 // time of the last input from the peer, by monotonic; 0: none so far
 }
 
--- a/internal/transport/write.go
+++ b/internal/transport/write.go
@@ -28,6 +28,8 @@
 	write(p []byte) (int, error)
 	// resetOnClose makes the following close a TCP reset. It is called under the same conditions as write.
 	resetOnClose()
+	// closeWrite ends the sending side; input still arrives. It is called under the same conditions as write.
+	closeWrite()
 	// setCloseTimeout limits how long the kernel tries to deliver written bytes after the close. It is called under the
 	// same conditions as write.
 	setCloseTimeout(timeout time.Duration)
@@ -89,6 +91,8 @@
 	return max(0, n), err
 }
 
+func (s socketConn) closeWrite() { shutdownWrite(s.descriptor) }
+
 func (s socketConn) resetOnClose() { setResetOnClose(s.descriptor) }
 
 func (s socketConn) setCloseTimeout(timeout time.Duration) { setUserTimeout(s.descriptor, timeout) }
@@ -277,9 +281,12 @@
 	if len(c.queue) == 0 {
 		c.writing = false
 		c.queue = nil
-		if c.sendClosed && c.closeErr != nil {
+		switch {
+		case c.sendClosed && c.closeErr != nil:
 			c.applyCloseTimeout()
 			go c.raw.Close() // the handler's Closed may need this lock
+		case c.readingOn:
+			c.raw.closeWrite()
 		}
 		return nothingWritten, true, nil
 	}
