An end written to a client connection that is ending is sent on another one

A client that closed its connection while the end of its session was on the way through the director was never told: the end was passed to a connection that nobody read any more, or that refused it, and was forgotten. An end is owed until it was sent on a connection that goes on.

Two checks of internal/director asserted that an end is never sent twice; that is wrong now.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -209,15 +209,19 @@
 // execute carries out the loop's outputs and reports whether the loop has ended.
 func (d *Daemon) execute(outs []director.Output) (ended bool) {
 	var stillActive []uint64
+	var endingsNotSent []director.EndingNotSent
 	for _, o := range outs {
 		switch o := o.(type) {
 		case director.SendClient:
 			c, raw := d.clients[o.Conn], d.protocol.EncodeClient(o)
-			if c == nil || raw == nil {
-			} else if o.Message.Type == wire.Rung { // advice, which the next one supersedes
+			switch {
+			case raw == nil:
+			case c != nil && o.Message.Type == wire.Rung: // advice, which the next one supersedes
 				c.SendReplaceable(raw, o.CoalesceKey)
-			} else if c.Send(raw, 0) {
+			case c != nil && c.Send(raw, 0):
 				d.answerWritten(o)
+			case o.Message.Type == wire.SessionEnded && d.config.ProtocolOptions.Detached:
+				endingsNotSent = append(endingsNotSent, director.EndingNotSent{Conn: o.Conn, Message: o.Message})
 			}
 		case director.AcceptClient:
 			if c := d.clients[o.Conn]; c != nil {
@@ -281,6 +285,9 @@
 			ended = true
 		}
 	}
+	for _, e := range endingsNotSent {
+		ended = d.execute(d.loop.Step(d.now(), e)) || ended
+	}
 	for _, conn := range stillActive { // reported before the connection's waiting messages are handled
 		ended = d.execute(d.loop.Step(d.now(), director.ClientStillActive{Conn: conn})) || ended
 	}
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -73,6 +73,8 @@
 		{"requests_repeated_total", "repeated requests, answered as before", prometheus.CounterValue, float64(c.Repeated)},
 		{"sessions_adopted_total", "sessions resumed or adopted by their client's key", prometheus.CounterValue, float64(c.Adopted)},
 		{"sessions_ended_early_total", "sessions whose end came before they were handed over", prometheus.CounterValue, float64(c.EndedEarly)},
+		{"endings_repeated_total", "ends of sessions sent again, because their client connection ended", prometheus.CounterValue,
+			float64(c.EndingsRepeated)},
 		{"answers_played_total", "final answers: the session plays", prometheus.CounterValue, float64(c.Played)},
 		{"answers_nacked_total", "final answers: rejected, and a retry is harmless", prometheus.CounterValue, float64(c.Nacked)},
 		{"answers_errored_total", "final answers: failed, without a claim whether the session ran", prometheus.CounterValue,
--- a/internal/director/client.go
+++ b/internal/director/client.go
@@ -21,6 +21,7 @@
 	slot             int32               // its index for the limits
 	rejected         bool                // detached mode: over capacity; its requests are refused until it closes
 	closing          bool                // it is being closed: new requests on it are not taken
+	failed           bool                // it has refused a message, because it is about to end
 	shutdownClose    bool                // its close was requested for shutdown, and no message from it is known to wait
 	inputEndReason   string              // why nothing more can be read from it; empty: reading goes on
 }
@@ -193,6 +194,7 @@
 		return
 	}
 	delete(l.conns, id)
+	defer l.repeatEndings(c) // after what follows has chosen no connection for them
 	l.event(Event{Kind: ClientDisconnected, Conn: id, Reason: e.Reason})
 	if c.rejected {
 		l.rejectedConns = slices.DeleteFunc(l.rejectedConns, func(n uint64) bool { return n == id })
--- a/internal/director/detached.go
+++ b/internal/director/detached.go
@@ -22,21 +22,6 @@
 // or if a node with sessions sends nothing for too long. It is then probed by making another connection, which replaces
 // it.
 
-// An undeliveredEnding is the notification of a session's end that waits for a client connection, or for a proven one,
-// that is, one on which a session has played.
-type undeliveredEnding struct {
-	message   wire.SessionMessage
-	expiresAt time.Duration
-}
-
-// undeliveredRetention is how long an ending is kept without a connection to send it on; this bounds their number. If
-// there is no proven connection for anyClientDelay, the ending goes to any client. Any client may receive it, but one
-// that only holds a connection might not pass it on.
-const (
-	undeliveredRetention = 8 * time.Second
-	anyClientDelay       = 500 * time.Millisecond
-)
-
 // maxPendingEnds is how many end messages are kept for a node that is not connected; further ones are dropped.
 const maxPendingEnds = 1024
 
@@ -165,64 +150,6 @@
 	l.deliverUndelivered(c, l.now)
 }
 
-// notifyDetachedEnd notifies a client that its session has ended: on the connection that the session was requested
-// on, else on the one last proven, else on any proven one. If there is none, the notification waits for a connection.
-func (l *Loop) notifyDetachedEnd(s *session, reason string) {
-	m := wire.SessionMessage{Type: wire.SessionEnded, ID: s.request, Session: s.name, Reason: reason}
-	for _, id := range [...]uint64{s.originConn, l.lastProvenConn} {
-		if c := l.conns[id]; c != nil && !c.closing {
-			l.event(Event{Kind: SessionEnded, Request: s.request, Conn: id, Reason: reason})
-			l.emit(SendClient{Conn: id, Message: m})
-			return
-		}
-	}
-	if c := l.anyConn(func(c *conn) bool { return c.proven }); c != nil {
-		l.event(Event{Kind: SessionEnded, Request: s.request, Conn: c.id, Reason: reason})
-		l.emit(SendClient{Conn: c.id, Message: m})
-		return
-	}
-	l.event(Event{Kind: SessionEnded, Request: s.request, Reason: reason})
-	l.undelivered = append(l.undelivered, undeliveredEnding{m, l.now + undeliveredRetention})
-	l.dropExpiredUndelivered()
-	l.timers.Add(l.now+anyClientDelay, timer{timerUndelivered, 0})
-}
-
-// anyConn returns a connection that fits and is not being closed, or nil.
-func (l *Loop) anyConn(fits func(c *conn) bool) *conn {
-	for _, id := range l.connsBySlot {
-		if c := l.conns[id]; c != nil && !c.closing && fits(c) {
-			return c
-		}
-	}
-	return nil
-}
-
-// deliverToAnyClient sends the endings that have waited for anyClientDelay on any client connection.
-func (l *Loop) deliverToAnyClient() {
-	if c := l.anyConn(func(*conn) bool { return true }); c != nil {
-		l.deliverUndelivered(c, l.now-anyClientDelay)
-	}
-}
-
-// deliverUndelivered sends on a connection the endings that have waited since the given time or longer.
-func (l *Loop) deliverUndelivered(c *conn, since time.Duration) {
-	l.dropExpiredUndelivered()
-	sent := 0
-	for ; sent < len(l.undelivered) && l.undelivered[sent].expiresAt-undeliveredRetention <= since; sent++ {
-		ending := l.undelivered[sent].message
-		l.event(Event{Kind: SessionEnded, Request: ending.ID, Conn: c.id, Reason: ending.Reason})
-		l.emit(SendClient{Conn: c.id, Message: l.undelivered[sent].message})
-	}
-	l.undelivered = l.undelivered[sent:]
-}
-
-// dropExpiredUndelivered drops the endings that have expired; the oldest comes first.
-func (l *Loop) dropExpiredUndelivered() {
-	for len(l.undelivered) > 0 && l.undelivered[0].expiresAt <= l.now {
-		l.undelivered = l.undelivered[1:]
-	}
-}
-
 // findDetachedLeg finds the leg that a node's message refers to, by its session. Until the leg plays, only messages on
 // the connection of its set-up count. This excludes an answer to an earlier leg or on an earlier connection.
 func (l *Loop) findDetachedLeg(n *node, e LinkReceived) *leg {
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -93,6 +93,7 @@
 	listReceived    bool             // a full list has been received
 
 	rejectedConns  []uint64            // most recently rejected connections; emptied as they close
+	sentEndings    []sentEnding        // endings that may not have been read, the oldest first
 	undelivered    []undeliveredEnding // endings without a connection to notify; emptied as they are sent or expire
 	lastProvenConn uint64              // connection of the latest session to start playing; 0: none
 
@@ -150,6 +151,7 @@
 
 	SessionsLost                    uint64            // playing sessions that lost their node
 	EndedEarly                      uint64            // sessions handed over after their end
+	EndingsRepeated                 uint64            // ends sent again, because their connection ended
 	ClientsRejected, ClientsEvicted uint64            // client connections rejected, and idle ones evicted
 	RequestsShed                    uint64            // requests that had waited too long for an overloaded loop
 	Stalls                          uint64            // times that a timer ran more than 100 ms late
@@ -209,6 +211,8 @@
 		l.clientLost(e)
 	case ClientInputEnded:
 		l.inputEnded(e)
+	case EndingNotSent:
+		l.endingNotSent(e)
 	case ClientStillActive:
 		if c := l.conns[e.Conn]; c != nil {
 			c.shutdownClose = false
--- a/internal/director/dropped.go
+++ b/internal/director/dropped.go
@@ -2,7 +2,8 @@
 
 import "fmt"
 
-// A DropReason is why the loop does nothing with a peer's message, other than a refusal to the peer.
+// A DropReason is why the loop does nothing with a peer's message, other than a refusal to the peer, or gives up an end
+// that it has kept.
 type DropReason int
 
 // The reasons. dropReasonCount is their number.
@@ -14,13 +15,14 @@
 	DropMessageOnUnknownConn                      // a client's message on a connection that has ended
 	DropMessageOnClosingConn                      // a client's message on a connection that is being closed
 	DropRepeatedEnd                               // a node repeats the end of a session
+	DropUndeliveredEnd                            // an end for which no client connection came in time, or dropped to make room
 	DropKeptEnd                                   // an end that was kept, dropped before its time to make room
 	dropReasonCount
 )
 
 var dropReasonNames = [dropReasonCount]string{"end_of_unknown_session", "message_of_unknown_session", "message_on_unknown_link",
 	"cancel_of_other_request", "message_on_unknown_connection", "message_on_closing_connection",
-	"repeated_end", "kept_end"}
+	"repeated_end", "undelivered_end", "kept_end"}
 
 func (r DropReason) String() string { return dropReasonNames[r] }
 
--- a/internal/director/messages.go
+++ b/internal/director/messages.go
@@ -43,6 +43,12 @@
 		Conn   uint64
 		Reason string
 	}
+	// EndingNotSent reports that a client connection has not taken the notification of a session's end, because it is
+	// ending. ClientLost follows.
+	EndingNotSent struct {
+		Conn    uint64
+		Message wire.SessionMessage
+	}
 	// LinkConnected reports that a Connect succeeded.
 	LinkConnected struct {
 		Node string
@@ -106,6 +112,7 @@
 func (ClientLost) input()         {}
 func (ClientStillActive) input()  {}
 func (ClientInputEnded) input()   {}
+func (EndingNotSent) input()      {}
 func (LinkConnected) input()      {}
 func (LinkFailed) input()         {}
 func (LinkReceived) input()       {}
