Hand-overs and ends beyond one peer's bound are taken, up to a shared backlog

A start hands over what plays, and a server that shuts down ends it, in one write. Beyond 2,048 messages of one connection that waited for the loop its input was ended as a flood: the rest was lost, and with it the ends or the sessions. A request over the bound is refused, but neither of these can be. In detached mode all peers now share a backlog of 16,384 messages beyond their own bounds.

--- a/internal/daemon/inbox.go
+++ b/internal/daemon/inbox.go
@@ -186,6 +186,13 @@
 	b.signal()
 }
 
+// length returns the number of all items that wait for the loop.
+func (b *inbox) length() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.priority) + b.queuedCount
+}
+
 // queueLength returns the number of queued client items.
 func (b *inbox) queueLength() int {
 	b.mu.Lock()
--- a/internal/daemon/misuse.go
+++ b/internal/daemon/misuse.go
@@ -15,10 +15,16 @@
 	}
 }
 
-// reserveInboxSlot counts one more waiting message of a peer. If that exceeds the peer's bound, it ends the
-// connection's input and returns false.
+// maxSharedBacklog is how many messages may wait for the loop in detached mode while a peer exceeds its own bound. What
+// peers send at once about playing sessions, such as the hand-overs after a start and the ends at a node's shutdown,
+// can't be refused as a request can.
+const maxSharedBacklog = 16 << 10
+
+// reserveInboxSlot counts one more waiting message of a peer. If that exceeds the peer's bound and what peers share, it
+// ends the connection's input and returns false.
 func (d *Daemon) reserveInboxSlot(c *transport.Conn, p *peer) bool {
-	if p.pending.Add(1) <= int32(d.config.ConnectionLimits.InboxSize) {
+	if p.pending.Add(1) <= int32(d.config.ConnectionLimits.InboxSize) ||
+		d.config.ProtocolOptions.Detached && d.inbox.length() < maxSharedBacklog {
 		return true
 	}
 	p.pending.Add(-1)
--- a/internal/platform/endings_test.go
+++ b/internal/platform/endings_test.go
@@ -43,3 +43,47 @@
 		})
 	}
 }
+
+// More sessions are handed over in one write than messages of one connection may wait for the loop. Guards against a
+// director that takes that for a flood and loses the rest.
+func TestManyHandOversInOneWrite(t *testing.T) {
+	const sessions = 3 * maxInboxPerPeer
+	p := startFixture(t, 1, "")
+	client := p.newClient()
+	var all []byte
+	for i := range uint64(sessions) {
+		all = append(all, handOverMessage(1+i, 0)...)
+	}
+	client.send(all)
+	p.wait("not all sessions were adopted", func() bool { return p.d.Counts().Adopted == sessions })
+	p.nodes[0].send(platformtest.Teardown(sessionID(sessions), causeEnded))
+	client.expect(kindRelease, sessions, codeCause)
+}
+
+// A node ends more sessions in one write than messages of one connection may wait for the loop, such as when it shuts
+// down. Guards against a director that takes that for a flood and loses the rest.
+func TestManyEndsInOneWrite(t *testing.T) {
+	const sessions = 3 * maxInboxPerPeer
+	p, decider := startBlockingFixture(t, 512, 1)
+	client := p.newClient()
+	var handOvers []byte
+	var ends string
+	for i := range uint64(sessions) {
+		handOvers = append(handOvers, handOverMessage(1+i, 0)...)
+		ends += platformtest.Teardown(sessionID(1+i), causeEnded)
+	}
+	client.send(handOvers)
+	p.wait("not all sessions were adopted", func() bool { return p.d.Counts().Adopted == sessions })
+	p.newClient().send(setupMessage(sessions+1, defaultPlacement))
+	<-decider.entered
+	written := make(chan struct{})
+	go func() { p.nodes[0].send(ends); close(written) }()
+	<-written
+	p.wait("the ends were not read", func() bool { return p.nodes[0].countReceived("200 OK") >= sessions })
+	close(decider.unblock)
+	for range sessions {
+		if m, ok := client.next(); !ok || m.kind != kindRelease {
+			t.Fatalf("read ok: %v, kind %d, want a release of each session", ok, m.kind)
+		}
+	}
+}
