Sessions of a server whose address another one has taken end when discovery tells

A server that died and was replaced at its address before the director connected again left its sessions standing: the connection under its name led to the new process, which knows nothing of them, and being off the list was acted on only once that connection ended. Where another server has the address, the connection is now closed and the sessions end.

--- a/internal/director/discovery.go
+++ b/internal/director/discovery.go
@@ -143,12 +143,14 @@
 		l.unlist(n)
 	case renewed:
 		if moved {
+			l.releaseAddress(n)
 			n.address = e.Address
 		}
 		if n.connected && (moved || n.linkIncarnation != 0 && n.linkIncarnation != e.Incarnation) {
 			l.disconnect(n, closedAsMoved) // it leads to an old address or incarnation
 		}
 		n.listed = true
+		l.takeAddress(n)
 		if !n.connected {
 			l.stepConnector(connector.Event{Node: n.index, Kind: connector.Listed})
 		}
@@ -156,6 +158,30 @@
 	return entry
 }
 
+// takeAddress records that a node has its address now. A node that had it before and is off the list has been replaced.
+func (l *Loop) takeAddress(n *node) {
+	previous := l.nodesByAddress[n.address]
+	l.nodesByAddress[n.address] = n
+	if previous != nil && previous != n && !previous.listed {
+		l.nodeReplaced(previous)
+	}
+}
+
+// releaseAddress records that a node no longer has its address.
+func (l *Loop) releaseAddress(n *node) {
+	if l.nodesByAddress[n.address] == n {
+		delete(l.nodesByAddress, n.address)
+	}
+}
+
+// nodeReplaced closes a connection that was made under the name of a node that is off the list, but leads to the node
+// that has its address now, and ends the sessions of the first, in detached mode.
+func (l *Loop) nodeReplaced(n *node) {
+	if l.options.Detached && n.connected {
+		l.disconnect(n, closedAsMoved)
+	}
+}
+
 // unlist marks a node as off the list.
 func (l *Loop) unlist(n *node) {
 	n.acceptsSessions = false
@@ -164,6 +190,8 @@
 		if !n.connected { // otherwise this is done when the connection ends
 			l.stepConnector(connector.Event{Node: n.index, Kind: connector.Unlisted})
 			l.nodeDead(n)
+		} else if l.nodesByAddress[n.address] != n {
+			l.nodeReplaced(n)
 		}
 	}
 }
