The silence of a server with sessions is noticed within the time for telling their ends

The bound is now also what the 8 s leave for three connection attempts, each check is due exactly when the bound may be reached, and a removed server that can't be reached is given up.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -36,6 +36,25 @@
 // maxMissedHeartbeats is how many heartbeats may stay unanswered before the connection to a node is closed.
 const maxMissedHeartbeats = 3
 
+// SilenceLimit is how long a node may send nothing before its connection may be dead.
+func (p ReconnectPolicy) SilenceLimit() time.Duration {
+	return maxMissedHeartbeats * p.HeartbeatInterval
+}
+
+// SetSilenceLimit sets HeartbeatInterval by its SilenceLimit.
+func (p *ReconnectPolicy) SetSilenceLimit(limit time.Duration) {
+	p.HeartbeatInterval = limit / maxMissedHeartbeats
+}
+
+// TimeToDead is the longest time from a suspicion until a node that lets every dial time out is taken for dead.
+func (p ReconnectPolicy) TimeToDead(dialTimeout time.Duration) time.Duration {
+	total := deadAfter * dialTimeout
+	for failures := 1; failures < deadAfter; failures++ {
+		total += min(p.MaxBackoff, p.InitialBackoff<<(failures-1))
+	}
+	return total
+}
+
 // Event is something that happened to a node. The caller identifies the node by a small index.
 type Event struct {
 	Node int
--- a/internal/director/connections.go
+++ b/internal/director/connections.go
@@ -211,6 +211,10 @@
 			l.endLeg(g, l.connectFailureOutcome(n), nil)
 		}
 	}
+	if !n.listed && l.options.Detached { // it has been removed, and it can't be reached
+		l.stepConnector(connector.Event{Node: n.index, Kind: connector.Unlisted})
+		l.nodeDead(n)
+	}
 	l.dropNode(n)
 }
 
@@ -291,17 +295,36 @@
 }
 
 // linkAlive closes the connection to a node that has sent nothing for too long. In detached mode it probes the
-// connection instead, if a session has been playing there for all that time.
+// connection instead, if a session has been playing there for all that time, and sets the time of the next check.
 func (l *Loop) linkAlive(e LinkAlive) {
-	if n := l.links[e.Link]; n != nil && n.connected && l.options.Detached {
-		if l.stepConnector(connector.Event{Node: n.index, Kind: connector.Received, Age: e.IdleFor}).Close &&
-			l.playsSince(n, l.now-e.IdleFor) {
-			l.probeSuspectLink(n, e.Link)
-		}
-	} else if n != nil && n.connected && l.stepConnector(connector.Event{Node: n.index, Kind: connector.Received, Age: e.IdleFor}).Close {
+	n := l.links[e.Link]
+	if n == nil || !n.connected {
+		return
+	}
+	if l.options.Detached {
+		l.checkSilence(n, e)
+		return
+	}
+	if l.stepConnector(connector.Event{Node: n.index, Kind: connector.Received, Age: e.IdleFor}).Close {
 		l.log("node %s has sent nothing for %v: closing its connection with %d legs", n.name,
 			e.IdleFor.Round(time.Millisecond), len(n.legs))
 		l.closeLink(n, e.Link, closedAsUnresponsive)
 		l.linkLost(LinkLost{Link: e.Link})
 	}
 }
+
+// checkSilence probes a connection if the node has sent nothing for SilenceLimit while a session played there. The next
+// check is due when that may be the case.
+func (l *Loop) checkSilence(n *node, e LinkAlive) {
+	if n.link != e.Link {
+		return
+	}
+	silentSince := max(l.now-e.IdleFor, n.playingSince(l.now))
+	next := silentSince + l.reconnectPolicy.SilenceLimit()
+	if next <= l.now {
+		l.probeSuspectLink(n, e.Link)
+		next = l.now + l.reconnectPolicy.HeartbeatInterval
+	}
+	l.timers.Cancel(n.pingTimer)
+	n.pingTimer = l.timers.Add(next, timer{timerPing, e.Link})
+}
--- a/internal/director/deadlines.go
+++ b/internal/director/deadlines.go
@@ -74,7 +74,7 @@
 		l.stepConnector(connector.Event{Kind: connector.TimerFired})
 	case timerPing:
 		if n := l.links[t.id]; n != nil && n.connected && n.link == t.id {
-			l.emit(ProbeLink{t.id})
+			l.emit(ProbeLink{t.id}) // in detached mode checkSilence, which gets the answer, may choose another time
 			n.pingTimer = l.timers.Add(l.now+l.reconnectPolicy.HeartbeatInterval, timer{timerPing, t.id})
 		}
 	case timerIdle:
--- a/internal/director/detached.go
+++ b/internal/director/detached.go
@@ -179,14 +179,15 @@
 	}
 }
 
-// playsSince reports whether a session has been playing on a node since the given time or longer.
-func (l *Loop) playsSince(n *node, since time.Duration) bool {
+// playingSince returns when the first of the sessions that play on the node began to do so, or now if none plays.
+func (n *node) playingSince(now time.Duration) time.Duration {
+	since := now
 	for _, g := range n.legs {
-		if g.phase == legPlaying && g.startedAt <= since {
-			return true
+		if g.phase == legPlaying {
+			since = min(since, g.startedAt)
 		}
 	}
-	return false
+	return since
 }
 
 // probeSuspectLink probes a suspect connection to a node by making another one, in detached mode.
--- a/internal/platform/settings_test.go
+++ b/internal/platform/settings_test.go
@@ -337,3 +337,25 @@
 		t.Error(err)
 	}
 }
+
+// The clients of a node whose machine vanishes have to be notified within 8 s. Guards against settings with which the
+// director notices the silence too late to do so.
+func TestSilenceIsNoticedInTime(t *testing.T) {
+	for _, told := range []float64{0, 0.5, 2, 5, 30, 600} {
+		for _, connect := range []float64{0.1, 0.5, 1} {
+			settings := strings.Replace(testSettings, `"told_every_s":30`, fmt.Sprintf(`"told_every_s":%g`, told), 1)
+			settings = strings.Replace(settings, `"connect_timeout_s":0.5`, fmt.Sprintf(`"connect_timeout_s":%g`, connect), 1)
+			start, err := parseStartConfig(fmt.Appendf(nil, `{"name":"n","listen":"127.0.0.1:0","settings":%s}`, settings))
+			if err != nil {
+				t.Fatal(err)
+			}
+			config := start.Config(time.Now())
+			policy := config.ReconnectPolicy
+			if notice := policy.SilenceLimit() + policy.TimeToDead(config.ProtocolOptions.ConnectTimeout); notice > 7500*time.Millisecond ||
+				policy.SilenceLimit() <= 0 {
+				t.Errorf("told_every_s %g, connect_timeout_s %g: noticed after %v of silence, dead after %v", told, connect,
+					policy.SilenceLimit(), notice)
+			}
+		}
+	}
+}
--- a/internal/platform/start_config.go
+++ b/internal/platform/start_config.go
@@ -207,9 +207,11 @@
 	}
 	config.ReconnectPolicy = connector.ReconnectPolicy{InitialBackoff: 100 * time.Millisecond, MaxBackoff: time.Second, MaxConcurrent: 64}
 	config.ReconnectPolicy.IdleTimeout = time.Duration(idleTimeoutFraction * float64(simwire.SecondsToDuration(settings.Permissions.Idle)))
+	silenceLimit := maxEndNotice - endNoticeMargin - config.ReconnectPolicy.TimeToDead(connect)
 	if interval := simwire.SecondsToDuration(settings.Family.ReportInterval); interval > 0 { // a node with sessions reports this often
-		config.ReconnectPolicy.HeartbeatInterval = (interval + time.Second) / 3
+		silenceLimit = min(silenceLimit, interval+time.Second)
 	}
+	config.ReconnectPolicy.SetSilenceLimit(max(minSilenceLimit, silenceLimit))
 	config.ShutdownPolicy = shutdown.Policy{Timeout: c.shutdownTimeout(), BatchInterval: 200 * time.Millisecond,
 		MinDuration: c.minShutdownTime(), CloseTimeout: c.clientCloseTimeout()}
 	sockets := c.Limits.Sockets
@@ -264,6 +266,13 @@
 	maxClientCloseTime = 150 * time.Millisecond // for client connections to close
 )
 
+// The platform's rule for sessions whose node can send nothing any more: their clients are notified within maxEndNotice.
+const (
+	maxEndNotice    = 8 * time.Second
+	endNoticeMargin = 500 * time.Millisecond // for the way to the client, and for a busy machine
+	minSilenceLimit = time.Second            // with long time limits for connecting
+)
+
 // maxHardStop returns the longest hard stop of all tariffs, limited to maxCountedHardStop.
 func (c *StartConfig) maxHardStop() (longest time.Duration) {
 	for _, x := range c.parsedSettings.Tariffs() {
