A connection that a server does not close in time is followed by another one

If the director ends its reading before the server has closed its side, and sessions play there, it now makes one more connection. TestClosingLinkThatIsAborted failed before (no other connection was made) and passes.

--- a/internal/daemon/nodes.go
+++ b/internal/daemon/nodes.go
@@ -62,5 +62,6 @@
 }
 
 func (h *nodeHandler) Closed(_ *transport.Conn, reason error, unsent []uint64) {
-	h.d.inbox.put(item{input: director.LinkLost{Link: h.peer.id, Unsent: unsent, Reason: truncate(reason.Error())}})
+	h.d.inbox.put(item{input: director.LinkLost{Link: h.peer.id, Unsent: unsent,
+		Aborted: errors.Is(reason, transport.ErrClosedLocally), Reason: truncate(reason.Error())}})
 }
--- a/internal/director/closing_links.go
+++ b/internal/director/closing_links.go
@@ -24,6 +24,19 @@
 	l.emit(CloseLink{Link: link, ReadOn: closingLinkTimeout})
 }
 
+// closingLinkLost handles the end of a connection that the director has closed. If the node has not closed its side in
+// time, an end that it has sent there is lost. The node repeats its ends on the next connection, so another one is made.
+func (l *Loop) closingLinkLost(e LinkLost) {
+	n := l.closingLinks[e.Link]
+	delete(l.closingLinks, e.Link)
+	if n == nil || !e.Aborted {
+		return
+	}
+	if n = l.nodes[n.name]; n != nil && n.playingSince(l.now) < l.now {
+		l.probeSuspectLink(n, n.link)
+	}
+}
+
 // A closeReason is why the director closes a connection to a node, for logs.
 type closeReason string
 
--- a/internal/director/connections.go
+++ b/internal/director/connections.go
@@ -221,7 +221,7 @@
 func (l *Loop) linkLost(e LinkLost) {
 	n := l.links[e.Link]
 	if n == nil {
-		delete(l.closingLinks, e.Link)
+		l.closingLinkLost(e)
 		return
 	}
 	delete(l.links, e.Link)
--- a/internal/director/deadlines.go
+++ b/internal/director/deadlines.go
@@ -86,7 +86,7 @@
 	case timerUndelivered:
 		l.deliverToAnyClient()
 	case timerClosingLink:
-		delete(l.closingLinks, t.id)
+		l.closingLinkLost(LinkLost{Link: t.id, Aborted: true})
 	case timerRejected:
 		if c := l.conns[t.id]; c != nil && c.rejected {
 			l.closeClient(CloseClient{Conn: t.id, Code: 1013, Reason: "no room"})
--- a/internal/director/kept_ends_test.go
+++ b/internal/director/kept_ends_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"fordusher/internal/wire"
 )
@@ -150,3 +151,22 @@
 		t.Fatalf("the link is still read after %v", closingLinkTimeout)
 	}
 }
+
+// A node does not close its side of a connection that the director is closing, for example because their network is
+// partitioned. Guards against ends that the node has sent there and that are lost: the node repeats them on the next
+// connection, which has to be made.
+func TestClosingLinkThatIsAborted(t *testing.T) {
+	for _, aborted := range []bool{false, true} {
+		h := newDetachedHarness(t, 1)
+		setup := h.playDetached("a", "clip")
+		h.requestDetached(1, "b", "clip")
+		h.advance(500 * ms) // past the leg's deadline; a probe connection is made
+		h.step(LinkConnected{nodeName(0), h.links[nodeName(0)]})
+		h.clearOutputs()
+		h.now += time.Millisecond
+		h.step(LinkLost{Link: setup.Link, Aborted: aborted, Reason: "closed"})
+		if made := len(h.connects()) == 1; made != aborted {
+			t.Fatalf("aborted: %v, another connection is made: %v", aborted, made)
+		}
+	}
+}
--- a/internal/director/messages.go
+++ b/internal/director/messages.go
@@ -80,11 +80,12 @@
 		IdleFor time.Duration
 	}
 	// LinkLost reports that a connection to a node has ended. Unsent are the legs of whose set-up not one byte was
-	// passed to the kernel.
+	// passed to the kernel. Aborted: this side has ended it, so what the node has sent may not have been read.
 	LinkLost struct {
-		Link   uint64
-		Unsent []uint64
-		Reason string // for logs
+		Link    uint64
+		Unsent  []uint64
+		Aborted bool
+		Reason  string // for logs
 	}
 	// Withdrawn reports that a leg's set-up was withdrawn before one byte of it was passed to the kernel.
 	Withdrawn struct{ Leg uint64 }
