A server's end is recognized on a connection made under its predecessor's name

A playing session's end now counts from its server's address, kept ends are found by address, and the connection of a replaced server is read until the server closes it. TestEndOnConnectionOfReplacedNode failed before (0 ends were sent, want 1) and passes.

--- a/internal/director/closing_links.go
+++ b/internal/director/closing_links.go
@@ -46,6 +46,7 @@
 	closedAsUnknown      closeReason = "the connection was not expected"
 	closedAsUnlisted     closeReason = "the server is no longer on the list"
 	closedAsMoved        closeReason = "the server has another address"
+	closedAsTaken        closeReason = "another server has its address now"
 	closedAsProbeFailed  closeReason = "the connection attempt to probe it failed"
 	closedAsUnresponsive closeReason = "nothing was received"
 	closedAsRestarted    closeReason = "the server has restarted"
@@ -57,7 +58,7 @@
 // once, or where another process than the node may be at the other end.
 func (r closeReason) readsOn() bool {
 	switch r {
-	case closedAsIdle, closedAsProbeFailed, closedAsReplaced, closedAsSuperseded, closedAsUnlisted:
+	case closedAsIdle, closedAsTaken, closedAsProbeFailed, closedAsReplaced, closedAsSuperseded, closedAsUnlisted:
 		return true
 	}
 	return false
--- a/internal/director/detached.go
+++ b/internal/director/detached.go
@@ -109,7 +109,7 @@
 		l.notifyDetachedEnd(s, "its node is not known")
 		return
 	}
-	end, ended := l.keptEndOf(m.ID, n.name)
+	end, ended := l.keptEndOf(m.ID, n)
 	if ended && end.conn == 0 {
 		l.counts.EndedEarly++
 		l.notifyDetachedEnd(s, endReason(end.outcome))
@@ -150,11 +150,15 @@
 	l.deliverUndelivered(c, l.now)
 }
 
+// isAt reports whether a node is the one at the other end of another node's connection. Both are the same, or the
+// connection was made under the name of a node that was replaced at its address.
+func (n *node) isAt(other *node) bool { return n.name == other.name || n.address == other.address }
+
 // findDetachedLeg finds the leg that a node's message refers to, by its session. Until the leg plays, only messages on
 // the connection of its set-up count. This excludes an answer to an earlier leg or on an earlier connection.
 func (l *Loop) findDetachedLeg(n *node, e LinkReceived) *leg {
 	s := l.sessionsByKey[e.Message.Session]
-	if s == nil || s.leg == nil || s.leg.node.name != n.name || s.leg.phase == legWaiting || s.leg.phase == legSent && s.leg.link != e.Link {
+	if s == nil || s.leg == nil || !s.leg.node.isAt(n) || s.leg.phase == legWaiting || s.leg.phase == legSent && s.leg.link != e.Link {
 		return nil
 	}
 	return s.leg
--- a/internal/director/discovery.go
+++ b/internal/director/discovery.go
@@ -178,7 +178,7 @@
 // that has its address now, and ends the sessions of the first, in detached mode.
 func (l *Loop) nodeReplaced(n *node) {
 	if l.options.Detached && n.connected {
-		l.disconnect(n, closedAsMoved)
+		l.disconnect(n, closedAsTaken)
 	}
 }
 
--- a/internal/director/kept_ends.go
+++ b/internal/director/kept_ends.go
@@ -17,9 +17,9 @@
 // maxKeptEnds is how many ends of one kind are kept. Beyond it the oldest is dropped.
 const maxKeptEnds = 10_000
 
-// An endedSession identifies a session that has ended, by the name of the session and of the node that it played on.
-// Node is empty if a client has ended it, wherever it plays.
-type endedSession struct{ session, node string }
+// An endedSession identifies a session that has ended, by its name and the address of the node that it played on. Address
+// is empty if a client has ended it, wherever it plays.
+type endedSession struct{ session, address string }
 
 // A keptEnd is the end of a session.
 type keptEnd struct {
@@ -80,7 +80,7 @@
 
 // keepNodeEnd keeps the end of a session that the loop does not have, as its node reports it.
 func (l *Loop) keepNodeEnd(n *node, e LinkReceived) {
-	key := endedSession{e.Message.Session, n.name}
+	key := endedSession{e.Message.Session, n.address}
 	if _, known := l.ownEnds.find(l.now, key); known {
 		l.dropNodeMessage(DropRepeatedEnd, n.name, e)
 		return
@@ -101,13 +101,13 @@
 
 // keepOwnEnd keeps the end of a playing session of the loop.
 func (l *Loop) keepOwnEnd(g *leg, outcome legOutcome) {
-	l.ownEnds.add(l.now, keptEnd{key: endedSession{g.session.name, g.node.name}, outcome: outcome})
+	l.ownEnds.add(l.now, keptEnd{key: endedSession{g.session.name, g.node.address}, outcome: outcome})
 }
 
 // keptEndOf returns the end that is kept for a session that plays on a node according to its client.
-func (l *Loop) keptEndOf(session, node string) (end keptEnd, ok bool) {
+func (l *Loop) keptEndOf(session string, n *node) (end keptEnd, ok bool) {
 	for _, kept := range []*keptEnds{&l.nodeEnds, &l.ownEnds} {
-		if end, ok = kept.find(l.now, endedSession{session, node}); ok {
+		if end, ok = kept.find(l.now, endedSession{session, n.address}); ok {
 			return end, true
 		}
 	}
--- a/internal/director/node_replaced_test.go
+++ b/internal/director/node_replaced_test.go
@@ -34,3 +34,26 @@
 		})
 	}
 }
+
+// A node sends the end of its session on a connection that was made under the name of the node that it has replaced at
+// its address, before or after discovery has reported that. Guards against an end that is not recognized: the node uses
+// any open connection of the director.
+func TestEndOnConnectionOfReplacedNode(t *testing.T) {
+	for name, gone := range map[string]bool{"both listed": false, "the first removed": true} {
+		t.Run(name, func(t *testing.T) {
+			h := newDetachedHarness(t, 1)
+			link := h.links[nodeName(0)]
+			started, removed := upEntry(1), upEntry(0)
+			started.Address = removed.Address
+			removed.State = wire.Removed
+			h.step(DiscoveryReceived{wire.DiscoveryMessage{Type: wire.Update, Serial: 2, Nodes: []wire.NodeEntry{started}}})
+			h.step(ClientReceived{Conn: 1, Message: wire.SessionMessage{Type: wire.Request, ID: "a", Key: "a", Tariff: "clip", Title: "t"},
+				Details: &RequestDetails{Copies: 8, PlayingOn: nodeName(1)}})
+			if gone {
+				h.step(DiscoveryReceived{wire.DiscoveryMessage{Type: wire.Update, Serial: 3, Nodes: []wire.NodeEntry{removed}}})
+			}
+			h.step(detachedReply(link, "a", wire.Ended))
+			h.requireEnded(1, ReasonEnded)
+		})
+	}
+}
--- a/internal/director/nodes.go
+++ b/internal/director/nodes.go
@@ -72,7 +72,7 @@
 	if l.options.Detached {
 		g = l.findDetachedLeg(n, e)
 	}
-	if g == nil || g.node.name != n.name {
+	if g == nil || !g.node.isAt(n) {
 		if l.options.Detached && m.Type == wire.Ended && l.sessionsByKey[m.Session] == nil {
 			l.keepNodeEnd(n, e)
 			return
