Connections that end as soon as they are made are dialed again with a back-off

The second of consecutive connections that end within 100 ms now begins the same back-off as a failed dial; the first is still followed at once, since a server that has restarted may be back. TestConnectionsThatEndAtOnceBackOff failed before (100 dials in 0 s) and passes.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -33,6 +33,9 @@
 // dead. Several are required so that the sessions on a node survive a dial that is lost in the network.
 const deadAfter = 3
 
+// shortLifetime is the lifetime up to which a connection says nothing for its node: it was accepted, but not used.
+const shortLifetime = 100 * time.Millisecond
+
 // maxMissedHeartbeats is how many heartbeats may stay unanswered before the connection to a node is closed.
 const maxMissedHeartbeats = 3
 
@@ -116,6 +119,8 @@
 type node struct {
 	state     state
 	failures  int               // consecutive failed dials
+	shortLife int               // consecutive connections that ended within shortLifetime
+	since     time.Duration     // when the connection was made
 	notBefore time.Duration     // earliest time of the next dial
 	timer     timerqueue.Handle // set while the node is idle and needed
 	needed    bool
@@ -172,7 +177,7 @@
 		delete(c.nodes, e.Node)
 	case e.Kind == Connected && n.state == dialing:
 		c.inFlight--
-		n.state, n.failures = connected, 0
+		n.state, n.failures, n.since = connected, 0, now
 		if n.unlisted {
 			delete(c.nodes, e.Node)
 		}
@@ -194,13 +199,34 @@
 		n.state = idle
 		c.backOff(now, e.Node, n)
 	case e.Kind == ConnectionLost && n.state == connected:
-		n.state, n.notBefore = idle, now
-		c.schedule(e.Node, n) // the node may be reachable again already; if the dial fails, the backoff begins
+		c.connectionLost(now, e.Node, n)
 	}
 	c.startDials(now)
 	return c.plan
 }
 
+// connectionLost has a node dialed at once after its connection has ended: it may be reachable again already, and if the
+// dial fails, the backoff begins. It also begins with the second of consecutive connections that end as soon as they are
+// made.
+func (c *Connector) connectionLost(now time.Duration, i int, n *node) {
+	n.state, n.notBefore = idle, now
+	if now-n.since > shortLifetime {
+		n.shortLife = 0
+	} else if n.shortLife++; n.shortLife > 1 {
+		n.notBefore = now + c.backoffTime(n.shortLife-1)
+	}
+	c.schedule(i, n)
+}
+
+// backoffTime returns a random time between half of the backoff after so many failures and all of it.
+func (c *Connector) backoffTime(failures int) time.Duration {
+	backoff := c.policy.MaxBackoff
+	if doublings := max(0, failures-1); doublings < 16 {
+		backoff = min(backoff, c.policy.InitialBackoff<<doublings)
+	}
+	return backoff/2 + time.Duration(c.random.Int64N(int64(backoff/2)+1))
+}
+
 // backOff delays the next dial by a random time between half of the backoff and all of it, so that directors that lost
 // a node at the same time do not dial it at the same time.
 func (c *Connector) backOff(now time.Duration, i int, n *node) {
@@ -208,11 +234,7 @@
 		delete(c.nodes, i)
 		return
 	}
-	backoff := c.policy.MaxBackoff
-	if doublings := max(0, n.failures-1); doublings < 16 {
-		backoff = min(backoff, c.policy.InitialBackoff<<doublings)
-	}
-	n.notBefore = now + backoff/2 + time.Duration(c.random.Int64N(int64(backoff/2)+1))
+	n.notBefore = now + c.backoffTime(n.failures)
 	c.schedule(i, n)
 }
 
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -207,3 +207,37 @@
 		}
 	})
 }
+
+// A node accepts each connection and closes it at once. Guards against dials without a pause between them. A connection
+// that lasts ends the backoff, and a single one that ends at once does not begin it.
+func TestConnectionsThatEndAtOnceBackOff(t *testing.T) {
+	c := New(1, testPolicy)
+	dials := 0
+	var now time.Duration
+	step := func(kind EventKind) (next time.Duration) {
+		p := c.Step(now, Event{Kind: kind})
+		dials += len(p.Dial)
+		return p.NextTimer
+	}
+	step(Listed)
+	for dials < 100 && now < 3*time.Second {
+		step(Connected)
+		if next := step(ConnectionLost); next > 0 {
+			now = next
+			step(TimerFired)
+		}
+	}
+	if dials > 10 {
+		t.Fatalf("%d dials in %v", dials, now)
+	}
+	step(Connected)
+	now += shortLifetime + 1
+	for range 2 {
+		dials = 0
+		step(ConnectionLost)
+		if dials != 1 {
+			t.Fatalf("%d dials after the loss, want one at once", dials)
+		}
+		step(Connected)
+	}
+}
