--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -13,10 +13,12 @@
 	checker *checker
 	conn    net.Conn
 
+	writeMu    sync.Mutex // held while a message is written, also between its pieces
 	mu         sync.Mutex
 	requestIDs []uint64
 	closed     bool // by the client
 	ended      chan struct{}
+	tested     chan struct{} // closed when the director has passed a test
 }
 
 // dialClient connects to a director and reads its messages.
@@ -25,7 +27,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &clientConnection{checker: d.checker, conn: conn, ended: make(chan struct{})}
+	c := &clientConnection{checker: d.checker, conn: conn, ended: make(chan struct{}), tested: make(chan struct{})}
 	go c.read(d, d.currentGeneration())
 	return c, nil
 }
@@ -35,12 +37,16 @@
 func (c *clientConnection) read(d *director, generation int) {
 	defer close(c.ended)
 	for {
-		kind, id, err := readClientMessage(c.conn)
+		m, err := readClientMessage(c.conn)
 		if err != nil {
 			break
 		}
-		if kind != kindAck {
-			c.checker.recordMessage(id, kind, c.owns(id))
+		switch m.kind {
+		case kindTested:
+			close(c.tested)
+		case kindAck:
+		default:
+			c.checker.recordMessage(m, c.owns(m.session))
 		}
 	}
 	c.conn.Close()
@@ -50,7 +56,7 @@
 	if closed || !d.isRunning(generation) {
 		return
 	}
-	c.checker.recordClose(ids)
+	c.checker.recordClose(ids, d.isStopping())
 }
 
 // isRunning reports whether a process is the director's current one and the run has not ended it.
@@ -60,6 +66,13 @@
 	return d.generation == generation && !d.exitExpected
 }
 
+// isStopping reports whether the director's process has been sent SIGTERM.
+func (d *director) isStopping() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.stopRequestedAt.IsZero()
+}
+
 // owns reports whether a request was sent on this connection.
 func (c *clientConnection) owns(id uint64) bool {
 	c.mu.Lock()
@@ -76,16 +89,14 @@
 // firstCell on, as many as copies.
 func (c *clientConnection) sendRequestFor(d *director, paid bool, wait time.Duration, firstCell, copies int) uint64 {
 	id := d.checker.addRequest(d, paid, wait)
-	class := "clip"
-	if paid {
-		class = "exam"
-	}
+	class := d.checker.className(id)
 	c.mu.Lock()
 	c.requestIDs = append(c.requestIDs, id)
 	c.mu.Unlock()
-	if _, err := c.conn.Write(requestMessage(id, class, wait, firstCell, copies)); err != nil {
+	if err := c.writeWhole(d, requestMessage(id, class, wait, firstCell, copies)); err != nil {
 		c.checker.markUnsent(id)
 	}
+	c.checker.markSent(id)
 	time.AfterFunc(wait+answerSlack+50*time.Millisecond, func() { c.checker.checkDeadline(id) })
 	return id
 }
@@ -102,6 +113,20 @@
 	c.conn.Close()
 }
 
+// closeUnlessOwed closes the connection if all its requests are answered.
+func (c *clientConnection) closeUnlessOwed() {
+	c.mu.Lock()
+	ids := c.requestIDs
+	c.mu.Unlock()
+	if c.checker.anyOwed(ids) {
+		return
+	}
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	c.conn.Close()
+}
+
 // hasEnded reports whether the connection has ended.
 func (c *clientConnection) hasEnded() bool {
 	select {
@@ -129,7 +154,10 @@
 			}
 			shared = c
 		}
-		paid, wait := r.randomInt(4) == 0, maxWait-r.randomDuration(maxWait/2)
+		if r.Dense && r.actDensely(d, shared) {
+			continue
+		}
+		paid, wait := r.randomInt(4) == 0, r.deadline()-r.randomDuration(r.deadline()/2)
 		switch n := r.randomInt(100); {
 		case n < 80:
 			shared.sendRequest(d, paid, wait)
@@ -138,7 +166,7 @@
 			id := c.sendRequest(d, paid, wait)
 			time.AfterFunc(r.randomDuration(100*time.Millisecond), func() {
 				d.checker.markCancelled(id)
-				c.conn.Write(cancelMessage(id))
+				c.writeWhole(d, cancelMessage(id))
 			})
 		default:
 			r.requestOnOwnConnection(d, n, paid, wait)
--- a/internal/soak/director.go
+++ b/internal/soak/director.go
@@ -62,8 +62,8 @@
 // settings are the directors' settings: a small deployment with a free and a paid class, as the platform calls a
 // tariff.
 const settings = `{"balancers":%d,"me":%d,"zone":"z","zones":["z"],"flavors":["box"],
- "classes":[{"name":"clip","target_s":0.8,"give_up_s":1.5,"semantics":"free","credit":1},
-  {"name":"exam","target_s":0.8,"give_up_s":1.5,"semantics":"single_shot","credit":3}],
+ "classes":[{"name":"clip","target_s":%g,"give_up_s":%g,"semantics":"free","credit":1},
+  {"name":"exam","target_s":%g,"give_up_s":%g,"semantics":"single_shot","credit":3}],
  "family_info":{"positions":%d,"shelves":1,"kind_slots":[1000],"ladder_kb":[1,2],"level_worth":[0.5,1],"link_unit_kb":1000000,
   "rack_link_kb":100000000,"told_every_s":30,"told_late_s":1},
  "permissions":{"max_attempts":3,"connect_timeout_s":0.4,"conn_idle_s":4},"report":{"fields":["x0","x1"]},
@@ -71,7 +71,7 @@
 
 // startConfig is the director's start configuration, with the servers that discovery has now. Callers hold the pool's
 // lock.
-func (d *director) startConfig() []byte {
+func (d *director) startConfig() ([]byte, error) {
 	type target struct {
 		UID      string  `json:"uid"`
 		Endpoint string  `json:"endpoint"`
@@ -84,26 +84,43 @@
 	}
 	var targets []target
 	for _, s := range d.pool.servers {
-		targets = append(targets, target{s.name(), s.ln.Addr().String(), "z", "box", s.cell,
-			[]string{"ready", "draining", "gone"}[s.state], 1, s.started})
+		if s.state != stateReady && s.state != stateDraining {
+			continue
+		}
+		e, err := s.endpointOf(d)
+		if err != nil {
+			return nil, err
+		}
+		targets = append(targets, target{s.name(), e.ln.Addr().String(), "z", "box", s.cell,
+			[]string{"ready", "draining"}[s.state], 1, s.started})
 	}
 	targetsJSON, _ := json.Marshal(targets) // encoding strings and numbers can't fail
-	return fmt.Appendf(nil, `{"name":"n%d","listen":%q,"seed":"%x","board":%q,"limits":{"cores":1,"memory_mb":192,"sockets":512},
+	return fmt.Appendf(nil, `{"name":"n%d","listen":%q,"seed":"%x","board":%q,"limits":{"cores":1,"memory_mb":%d,"sockets":%d},
  "known":{"rev":%d,"notices":[{"rev":%d,"pool":{"rev":%d,"all":true,"targets":%s}}]},"settings":%s}`,
-		d.number, d.address.String(), d.options.Seed+uint64(d.number)+1, d.discovery.ln.Addr(),
+		d.number, d.address.String(), d.options.Seed+uint64(d.number)+1, d.discovery.currentAddress(), memoryLimit>>20, socketLimit,
 		d.pool.lastEvent, d.pool.lastEvent, d.pool.lastEvent, targetsJSON,
-		fmt.Sprintf(settings, cmp.Or(d.options.Directors, d.options.Processes), d.number, d.options.Servers))
+		fmt.Sprintf(settings, cmp.Or(d.options.Directors, d.options.Processes), d.number, d.options.deadline().Seconds(),
+			d.options.deadline().Seconds(), d.options.deadline().Seconds(), d.options.deadline().Seconds(), d.options.Servers)), nil
 }
 
+// The limits of a director's process.
+const (
+	memoryLimit = 192 << 20 // bytes, resident
+	socketLimit = 512       // descriptors
+)
+
 // start starts a process and returns once it accepts connections of clients.
 func (d *director) start() error {
 	d.pool.mu.Lock()
-	err := os.WriteFile(d.config, d.startConfig(), 0o600)
+	config, err := d.startConfig()
+	if err == nil {
+		err = os.WriteFile(d.config, config, 0o600)
+	}
 	delete(d.pool.subscribers, d.discovery)
 	d.discovery.clearEvents()
 	d.pool.subscribers[d.discovery] = true
 	for _, s := range d.pool.servers {
-		if s.state != stateReady {
+		if s.state == stateDraining || s.state == stateGone {
 			s.markDrainSent(d)
 		}
 	}
@@ -136,6 +153,7 @@
 	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
 		if c, err := net.Dial("tcp", d.address.String()); err == nil {
 			c.Close()
+			d.handOverStanding()
 			d.mu.Lock()
 			d.stopRequestedAt = time.Time{} // not earlier: a SIGTERM before the process handles signals would end it at once
 			d.mu.Unlock()
@@ -181,7 +199,7 @@
 	const acceptAfterStop = 500 * time.Millisecond // clients send requests for a while after SIGTERM
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return !d.exitExpected && (d.stopRequestedAt.IsZero() || time.Since(d.stopRequestedAt) < acceptAfterStop)
+	return !d.exitExpected && (d.stopRequestedAt.IsZero() || d.options.Dense || time.Since(d.stopRequestedAt) < acceptAfterStop)
 }
 
 // kill kills the process, as a crash does, and starts it again.
@@ -192,7 +210,7 @@
 	d.mu.Unlock()
 	cmd.Process.Kill()
 	<-ended
-	d.checker.markKilled(d, generation)
+	d.checker.markKilled(d, generation, d.options.Dense)
 	return d.start()
 }
 
@@ -202,10 +220,16 @@
 	return d.start()
 }
 
-// stopProcess sends the process SIGTERM and waits until it exits. A process that takes too long is killed, which
-// counts as a violation.
+// The time from SIGTERM to SIGKILL: the longest deadline, which counts as maxCountedDeadline at most, and killDelay.
+const (
+	maxCountedDeadline = 3 * time.Second
+	killDelay          = 700 * time.Millisecond
+)
+
+// stopProcess sends the process SIGTERM and waits until it exits. A process that still runs when it may be killed is
+// killed, which counts as a violation.
 func (d *director) stopProcess() {
-	const killAfter = 3*time.Second + 700*time.Millisecond
+	killAfter := min(d.options.deadline(), maxCountedDeadline) + killDelay
 	d.mu.Lock()
 	d.stopRequestedAt = time.Now()
 	cmd, ended, generation := d.cmd, d.ended, d.generation
@@ -216,14 +240,17 @@
 	cmd.Process.Signal(syscall.SIGTERM)
 	select {
 	case <-ended:
-	case <-time.After(killAfter):
+	case <-time.After(killAfter + exitSlack):
 		d.checker.addRunViolation("director %d has not exited %v after SIGTERM", d.number, killAfter)
 		cmd.Process.Kill()
 		<-ended
-		d.checker.markKilled(d, generation)
+		d.checker.markKilled(d, generation, d.options.Dense)
 	}
 }
 
+// exitSlack is the time that a busy machine takes between a process's exit and its notice.
+const exitSlack = 100 * time.Millisecond
+
 // pauseFor stops the process by SIGSTOP for a while and lets it continue.
 func (d *director) pauseFor(length time.Duration) {
 	d.mu.Lock()
@@ -270,8 +297,7 @@
 // finish stops the process and discovery and removes the director's files.
 func (d *director) finish() {
 	d.stopProcess()
-	d.discovery.ln.Close()
-	d.discovery.closeConnection()
+	d.discovery.stopListening()
 	d.address.Close()
 	os.RemoveAll(d.dir)
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -28,7 +28,10 @@
 // injectFaults starts random faults until the context ends, and returns once all are over.
 func (r *run) injectFaults(ctx context.Context) {
 	const maxInterval = 250 * time.Millisecond // largest time between the starts of two faults; the mean is half of it
-	total := 0
+	faults, total := faults, 0
+	if r.Dense {
+		faults = denseFaults
+	}
 	for _, f := range faults {
 		total += f.weight
 	}
@@ -121,12 +124,7 @@
 
 // addServer starts a server and publishes it as ready.
 func (r *run) addServer() {
-	s, err := r.pool.add(time.Now())
-	if err != nil {
-		r.checker.addRunViolation("%v", err)
-		return
-	}
-	r.pool.publishState(stateReady, s)
+	r.pool.publishState(stateReady, r.pool.add(time.Now()))
 }
 
 func (r *run) silenceDiscovery(context.Context) { r.randomDirector().discovery.silence() }
--- a/internal/soak/messages.go
+++ b/internal/soak/messages.go
@@ -19,6 +19,8 @@
 	kindAnswer  = 9
 	kindRelease = 12
 	kindAck     = 16
+	kindTest    = 52
+	kindTested  = 53
 
 	codeClass, codeWait, codeTitle, codePlacement, codeHint, codeCause, codeDescription = 33, 36, 45, 48, 63, 75, 78
 
@@ -45,25 +47,45 @@
 		fmt.Sprintf("home:%d;copies:%d;top:1;viewer:%016x", firstCell, copies, session), codeDescription, "there\r\n")
 }
 
+// handOverMessage hands over to a director a session that plays at a server.
+func handOverMessage(session uint64, class, server string) []byte {
+	return clientMessage(kindSetup, session, codeClass, class, codeWait, "1500", codeTitle, fmt.Sprintf("%016x", session%64),
+		codeHint, "1000.0", codePlacement, fmt.Sprintf("home:0;copies:1;top:1;viewer:%016x;at:%s", session, server),
+		codeDescription, "there\r\n")
+}
+
 // cancelMessage is a client's cancellation of its request.
 func cancelMessage(session uint64) []byte {
 	return clientMessage(kindRelease, session, codeCause, string([]byte{causeEnded}))
 }
 
+// A directorMessage is a message of a director to a client.
+type directorMessage struct {
+	kind    byte
+	session uint64
+	server  string // of an answer that a session stands: the server, which names itself in its description
+}
+
 // readClientMessage reads one message of a director to a client.
-func readClientMessage(r io.Reader) (kind byte, session uint64, err error) {
+func readClientMessage(r io.Reader) (m directorMessage, err error) {
+	const fixed = 1 + 8 // type and session
 	head := make([]byte, 2)
 	if _, err := io.ReadFull(r, head); err != nil {
-		return 0, 0, err
+		return m, err
 	}
 	raw := make([]byte, binary.BigEndian.Uint16(head))
 	if _, err := io.ReadFull(r, raw); err != nil {
-		return 0, 0, err
+		return m, err
+	}
+	if len(raw) < fixed {
+		return m, fmt.Errorf("message of %d bytes is too short", len(raw))
 	}
-	if len(raw) < 9 {
-		return 0, 0, fmt.Errorf("message of %d bytes is too short", len(raw))
+	m.kind, m.session = raw[0], binary.BigEndian.Uint64(raw[1:])
+	if m.kind == kindAnswer {
+		const parameterHead = 1 + 2 // code and length of the only parameter
+		m.server = strings.TrimSpace(string(raw[min(len(raw), fixed+parameterHead):]))
 	}
-	return raw[0], binary.BigEndian.Uint64(raw[1:]), nil
+	return m, nil
 }
 
 // A serverRequest is a director's request to a server.
@@ -140,6 +162,7 @@
 // States of a server in discovery.
 const (
 	stateReady, stateDraining, stateGone = 0, 1, 2
+	stateUnlisted                        = 255 // discovery does not have it yet
 )
 
 // A serverRecord is a server as discovery sends it.
--- a/internal/soak/scale.go
+++ b/internal/soak/scale.go
@@ -113,12 +113,7 @@
 		r.pool.publishState(stateDraining, ready[:n]...)
 		var added []*server
 		for range n {
-			s, err := r.pool.add(time.Now())
-			if err != nil {
-				r.checker.addRunViolation("%v", err)
-				return
-			}
-			added = append(added, s)
+			added = append(added, r.pool.add(time.Now()))
 		}
 		r.pool.publishState(stateReady, added...)
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -4,6 +4,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -20,6 +21,8 @@
 	Program   string        // the program to run as a director
 	Directors int           // number of directors in their settings; 0: as many as processes
 	Faultless bool          // servers serve every set-up, and directors log at level info
+	Deadline  time.Duration // the longest time that a client waits for its answer; 0: maxWait
+	Dense     bool          // sessions are handed over at each start, faults are those of a dense trial; see dense.go
 	Logs      string        // directory for the directors' logs; empty: they are dropped
 }
 
@@ -38,11 +41,25 @@
 
 // Durations of a run, besides Options.Length.
 const (
-	startupDelay = 300 * time.Millisecond              // exceeds the ramp time, in which a started director limits its set-ups
-	maxWait      = 1500 * time.Millisecond             // of a request for its answer
-	finalDelay   = maxWait + answerSlack + time.Second // until the last requests are answered
+	startupDelay = 300 * time.Millisecond     // exceeds the ramp time, in which a started director limits its set-ups
+	maxWait      = 1500 * time.Millisecond    // of a request for its answer, unless the options say otherwise
+	settleDelay  = tellAfterEnd + time.Second // until the last ends are told, at most
 )
 
+// waitUntilSettled waits until the last requests are answered and no end is owed to a client any more, or the time for
+// that is over.
+func (r *run) waitUntilSettled(ctx context.Context) {
+	answered := r.deadline() + answerSlack + time.Second // the last requests are
+	if !sleep(ctx, answered) {
+		return
+	}
+	for deadline := time.Now().Add(settleDelay - answered); r.checker.unsettled() && time.Now().Before(deadline); {
+		if !sleep(ctx, 50*time.Millisecond) {
+			return
+		}
+	}
+}
+
 // A run is the state of one run.
 type run struct {
 	Options
@@ -69,11 +86,11 @@
 		group.Go(func() { r.sendRequests(requestCtx, d) })
 	}
 	group.Go(func() { r.injectFaults(requestCtx) })
-	group.Wait()
-	select {
-	case <-time.After(finalDelay):
-	case <-ctx.Done():
+	if r.Dense {
+		group.Go(func() { r.watchLimits(requestCtx) })
 	}
+	group.Wait()
+	r.waitUntilSettled(ctx)
 	r.stop()
 	return r.checker.result(o.Seed, r.faultCount), ctx.Err()
 }
@@ -81,10 +98,9 @@
 // start starts the servers and the directors.
 func (r *run) start(ctx context.Context) error {
 	r.pool = newServerPool(r.checker, r.randomInt, r.Servers, r.Faultless)
+	r.pool.dense = r.Dense
 	for range r.Servers {
-		if _, err := r.pool.add(time.Time{}); err != nil {
-			return err
-		}
+		r.pool.add(time.Time{})
 	}
 	for i := range r.Processes {
 		d, err := newDirector(ctx, i, r.Options, r.pool, r.checker)
@@ -92,6 +108,11 @@
 			return err
 		}
 		r.directors = append(r.directors, d)
+	}
+	for _, d := range r.directors {
+		if r.Dense {
+			r.addStandingSessions(d)
+		}
 		if err := d.start(); err != nil {
 			return err
 		}
@@ -101,12 +122,17 @@
 
 // stop stops the directors and the servers.
 func (r *run) stop() {
+	var group sync.WaitGroup
 	for _, d := range r.directors {
-		d.finish()
+		group.Go(d.finish)
 	}
+	group.Wait()
 	r.pool.close()
 }
 
+// deadline is the time that clients wait for an answer at most, and the longest deadline in the directors' settings.
+func (o Options) deadline() time.Duration { return cmp.Or(o.Deadline, maxWait) }
+
 // randomInt returns a random number from 0 up to limit, without it.
 func (r *run) randomInt(limit int) int {
 	r.mu.Lock()
