--- a/internal/platform/endings_test.go
+++ b/internal/platform/endings_test.go
@@ -87,3 +87,33 @@
 		}
 	}
 }
+
+// A client hands a session over and closes its connection at once, in one packet or not. Guards against a hand-over that
+// is lost with its connection: a session that plays belongs to none.
+func TestHandOverOnConnectionThatClosesAtOnce(t *testing.T) {
+	for name, leave := range departures {
+		if name == "cancels" {
+			continue
+		}
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := startFixture(t, 1, "")
+			other := p.newClient()
+			other.send(handOverMessage(1000, 0))
+			const sessions = 50
+			for i := range uint64(sessions) {
+				client := p.newClient()
+				client.send(handOverMessage(1+i, 0))
+				if name == "resets" {
+					client.roundTrip() // a reset may take with it what has not been read
+				}
+				leave(client)
+			}
+			p.wait("not all sessions were adopted", func() bool { return p.d.Counts().Adopted == sessions+1 })
+			for i := range uint64(sessions) {
+				p.nodes[0].send(platformtest.Teardown(sessionID(1+i), causeEnded))
+				other.expect(kindRelease, 1+i, codeCause)
+			}
+		})
+	}
+}
