--- a/internal/director/bench_test.go
+++ b/internal/director/bench_test.go
@@ -9,17 +9,35 @@
 	"fordusher/internal/wire"
 )
 
+// heapInUse returns the bytes that reachable objects take.
+func heapInUse() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkKeptEndMemory measures the memory that the ends of unknown sessions take in the loop when as many are kept as
+// can be.
+func BenchmarkKeptEndMemory(b *testing.B) {
+	h := newDetachedHarness(b, 8)
+	before := heapInUse()
+	for b.Loop() {
+		for i := range maxKeptEnds {
+			h.step(detachedReply(h.links[nodeName(0)], fmt.Sprintf("%016x", i), wire.Ended))
+		}
+		h.clearOutputs()
+	}
+	b.ReportMetric(float64(heapInUse()-before)/maxKeptEnds, "B/end")
+	b.ReportMetric(float64(h.loop.nodeEnds.len()), "ends")
+	runtime.KeepAlive(h)
+}
+
 // BenchmarkSessionMemory measures the memory that a client connection with one playing session takes in the loop and
 // its decider.
 func BenchmarkSessionMemory(b *testing.B) {
-	heap := func() uint64 {
-		runtime.GC()
-		var m runtime.MemStats
-		runtime.ReadMemStats(&m)
-		return m.HeapAlloc
-	}
 	h := newHarness(b, 8)
-	before, sessions := heap(), 0
+	before, sessions := heapInUse(), 0
 	for b.Loop() {
 		if sessions++; sessions > 900 { // the harness accepts 1,000 connections
 			continue
@@ -34,7 +52,7 @@
 		h.clearOutputs()
 	}
 	if n := len(h.loop.sessions); n > 0 {
-		b.ReportMetric(float64(heap()-before)/float64(n), "B/session")
+		b.ReportMetric(float64(heapInUse()-before)/float64(n), "B/session")
 		b.ReportMetric(float64(n), "sessions")
 	}
 	runtime.KeepAlive(h)
