--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -16,7 +16,7 @@
 	deadlineSlack = 150 * time.Millisecond
 	overlapSlack  = 100 * time.Millisecond
 
-	// A request that crosses the close of its connection by a director that stops within crossingTime is sent again.
+	// A request that crosses the close of its connection, on which no other is open, within crossingTime is sent again.
 	crossingTime  = 50 * time.Millisecond
 	crossingSlack = 50 * time.Millisecond
 )
@@ -410,7 +410,7 @@
 }
 
 // recordClose records that a director has closed a client's connection, whose requests must have been answered.
-func (c *checker) recordClose(ids []uint64, stopping bool) {
+func (c *checker) recordClose(ids []uint64, closesIdle bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, id := range ids {
@@ -418,7 +418,7 @@
 		if r.answers > 0 || !r.cancelledAt.IsZero() || r.void {
 			continue
 		}
-		if crossed := time.Since(r.sentAt) < crossingTime+crossingSlack; stopping && crossed && len(r.attempts) == 0 {
+		if crossed := time.Since(r.sentAt) < crossingTime+crossingSlack; closesIdle && crossed && len(r.attempts) == 0 {
 			r.void = true // its client sends it again
 		} else {
 			c.addViolation(id, r, "its connection ended without an answer, %v after the request", time.Since(r.sentAt))
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -56,7 +56,7 @@
 	if closed || !d.isRunning(generation) {
 		return
 	}
-	c.checker.recordClose(ids, d.isStopping())
+	c.checker.recordClose(ids, d.closesIdle())
 }
 
 // isRunning reports whether a process is the director's current one and the run has not ended it.
@@ -66,11 +66,12 @@
 	return d.generation == generation && !d.exitExpected
 }
 
-// isStopping reports whether the director's process has been sent SIGTERM.
-func (d *director) isStopping() bool {
+// closesIdle reports whether the director has a reason to close connections on which no request is open: its process has
+// been sent SIGTERM, or has more connections than descriptors.
+func (d *director) closesIdle() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return !d.stopRequestedAt.IsZero()
+	return !d.stopRequestedAt.IsZero() || time.Now().Before(d.crowdedUntil)
 }
 
 // owns reports whether a request was sent on this connection.
--- a/internal/soak/dense.go
+++ b/internal/soak/dense.go
@@ -363,7 +363,15 @@
 
 // crowdDirector opens more idle connections than a director has descriptors for, and keeps them for a while.
 func (r *run) crowdDirector(ctx context.Context) {
+	const settleTime = time.Second // until the director has no more than it wants
 	d := r.randomDirector()
+	setCrowdedUntil := func(t time.Time) {
+		d.mu.Lock()
+		d.crowdedUntil = t
+		d.mu.Unlock()
+	}
+	setCrowdedUntil(time.Now().Add(time.Hour))
+	defer func() { setCrowdedUntil(time.Now().Add(settleTime)) }()
 	var idle []net.Conn
 	for range socketLimit {
 		c, err := net.DialTimeout("tcp", d.address.String(), 100*time.Millisecond)
--- a/internal/soak/director.go
+++ b/internal/soak/director.go
@@ -38,7 +38,8 @@
 	ended           chan struct{}
 	stopRequestedAt time.Time // zero: the process has not been requested to stop
 	pauses          []pause
-	exitExpected    bool // the run has killed the process
+	exitExpected    bool      // the run has killed the process
+	crowdedUntil    time.Time // so long idle connections may be closed for want of descriptors
 }
 
 // A pause is a time during which the process was stopped by SIGSTOP.
@@ -117,7 +118,7 @@
 		err = os.WriteFile(d.config, config, 0o600)
 	}
 	delete(d.pool.subscribers, d.discovery)
-	d.discovery.clearEvents()
+	d.discovery.restart()
 	d.pool.subscribers[d.discovery] = true
 	for _, s := range d.pool.servers {
 		if s.state == stateDraining || s.state == stateGone {
--- a/internal/soak/discovery.go
+++ b/internal/soak/discovery.go
@@ -235,8 +235,10 @@
 	return v.listen("127.0.0.1:0")
 }
 
-// clearEvents drops the events. A process that is started next has them in its start configuration.
-func (v *discovery) clearEvents() {
+// restart drops the events, which the process that is started next has in its start configuration, and the connection of
+// the one before.
+func (v *discovery) restart() {
+	v.closeConnection()
 	v.mu.Lock()
 	v.events = nil
 	v.mu.Unlock()
--- a/internal/soak/endpoint.go
+++ b/internal/soak/endpoint.go
@@ -58,10 +58,10 @@
 		if err != nil {
 			return
 		}
-		if e.isFiller(raw) {
+		e.waitUntil(func() bool { return !e.unreachable })
+		if e.isFiller(raw) { // known only after the wait: one may be accepted before its dial has returned
 			continue
 		}
-		e.waitUntil(func() bool { return !e.unreachable })
 		conn := &serverConn{Conn: raw, endpoint: e, outgoing: make(chan outgoing, maxRepeated), ended: make(chan struct{})}
 		if e.director != nil {
 			conn.generation = e.director.currentGeneration()
