--- a/connector/connector.go
+++ b/connector/connector.go
@@ -33,7 +33,7 @@
 // dead. Several are required so that the sessions on a node survive a dial that is lost in the network.
 const deadAfter = 3
 
-// shortLifetime is the lifetime up to which a connection says nothing for its node: it was accepted, but not used.
+// shortLifetime is the lifetime up to which an unused connection says nothing for its node.
 const shortLifetime = 100 * time.Millisecond
 
 // maxMissedHeartbeats is how many heartbeats may stay unanswered before the connection to a node is closed.
@@ -63,6 +63,8 @@
 	Node int
 	Kind EventKind
 	Age  time.Duration // Received: time since the data arrived
+	// Unused: with ConnectionLost, nothing was received on the connection.
+	Unused bool
 }
 
 // EventKind is the kind of an Event.
@@ -119,7 +121,7 @@
 type node struct {
 	state     state
 	failures  int               // consecutive failed dials
-	shortLife int               // consecutive connections that ended within shortLifetime
+	shortLife int               // consecutive connections that ended unused within shortLifetime
 	since     time.Duration     // when the connection was made
 	notBefore time.Duration     // earliest time of the next dial
 	timer     timerqueue.Handle // set while the node is idle and needed
@@ -199,23 +201,23 @@
 		n.state = idle
 		c.backOff(now, e.Node, n)
 	case e.Kind == ConnectionLost && n.state == connected:
-		c.connectionLost(now, e.Node, n)
+		c.connectionLost(now, e, n)
 	}
 	c.startDials(now)
 	return c.plan
 }
 
 // connectionLost has a node dialed at once after its connection has ended: it may be reachable again already, and if the
-// dial fails, the backoff begins. It also begins with the second of consecutive connections that end as soon as they are
-// made.
-func (c *Connector) connectionLost(now time.Duration, i int, n *node) {
+// dial fails, the backoff begins. It also begins with the second of consecutive connections that end unused as soon as
+// they are made.
+func (c *Connector) connectionLost(now time.Duration, e Event, n *node) {
 	n.state, n.notBefore = idle, now
-	if now-n.since > shortLifetime {
+	if !e.Unused || now-n.since > shortLifetime {
 		n.shortLife = 0
 	} else if n.shortLife++; n.shortLife > 1 {
 		n.notBefore = now + c.backoffTime(n.shortLife-1)
 	}
-	c.schedule(i, n)
+	c.schedule(e.Node, n)
 }
 
 // backoffTime returns a random time between half of the backoff after so many failures and all of it.
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -209,13 +209,13 @@
 }
 
 // A node accepts each connection and closes it at once. Guards against dials without a pause between them. A connection
-// that lasts ends the backoff, and a single one that ends at once does not begin it.
+// that lasts or is used ends the backoff, and a single one that ends at once does not begin it.
 func TestConnectionsThatEndAtOnceBackOff(t *testing.T) {
 	c := New(1, testPolicy)
 	dials := 0
 	var now time.Duration
 	step := func(kind EventKind) (next time.Duration) {
-		p := c.Step(now, Event{Kind: kind})
+		p := c.Step(now, Event{Kind: kind, Unused: true})
 		dials += len(p.Dial)
 		return p.NextTimer
 	}
@@ -240,4 +240,11 @@
 		}
 		step(Connected)
 	}
+	for range 5 {
+		p := c.Step(now, Event{Kind: ConnectionLost})
+		if len(p.Dial) != 1 {
+			t.Fatal("a connection that was used is not followed at once")
+		}
+		step(Connected)
+	}
 }
--- a/internal/director/connections.go
+++ b/internal/director/connections.go
@@ -143,7 +143,8 @@
 		return
 	}
 	l.event(Event{Kind: ServerConnected, Server: n.name, Link: e.Link})
-	n.connecting, n.connected, n.helloReceived, n.connectedAt, n.lastUsed, n.suspect = false, true, l.options.NoHello, l.now, l.now, false
+	n.connecting, n.connected, n.helloReceived, n.suspect, n.linkUsed = false, true, l.options.NoHello, false, false
+	n.connectedAt, n.lastUsed = l.now, l.now
 	if l.reconnectPolicy.HeartbeatInterval > 0 {
 		n.pingTimer = l.timers.Add(l.now+l.reconnectPolicy.HeartbeatInterval, timer{timerPing, e.Link})
 	}
@@ -247,7 +248,7 @@
 	}
 	l.releaseLinkNeed(n, e.Link)
 	if n.listed {
-		l.stepConnector(connector.Event{Node: n.index, Kind: connector.ConnectionLost})
+		l.stepConnector(connector.Event{Node: n.index, Kind: connector.ConnectionLost, Unused: !n.linkUsed})
 	} else {
 		l.stepConnector(connector.Event{Node: n.index, Kind: connector.Unlisted})
 	}
--- a/internal/director/messages.go
+++ b/internal/director/messages.go
@@ -157,8 +157,8 @@
 		Reason     string
 	}
 	// CloseClient closes a client connection with a close code of RFC 6455 and a reason; code 0 aborts it. Idle: it is
-	// closed only because it has nothing to do. If a message from it waits for the loop, it stays open and
-	// ClientStillActive answers.
+	// closed only because it has nothing to do. If a message from it waits for the loop, or to be read, it stays open
+	// and ClientStillActive answers.
 	CloseClient struct {
 		Conn   uint64
 		Code   int
--- a/internal/director/nodes.go
+++ b/internal/director/nodes.go
@@ -36,6 +36,7 @@
 	pingTimer           timerqueue.Handle
 	idleTimer           timerqueue.Handle // calls checkIdleLink
 	lastUsed            time.Duration     // when it was connected, a set-up was sent or a message received
+	linkUsed            bool              // the node has sent a message on its connection
 	linkNeeded          bool              // with connections on demand: legs or end messages need a connection
 	suspect             bool              // the latest connect failures indicate a fault of the node
 	legs                map[uint64]*leg   // emptied as legs end
@@ -64,6 +65,7 @@
 		return
 	}
 	n.lastUsed = l.now
+	n.linkUsed = n.linkUsed || n.link == e.Link
 	if m.Type == wire.Hello {
 		l.helloReceived(n, m)
 		return
