A client connection with unread input is not closed as idle

The loop looked at the messages that it had been given; on a busy machine a request can wait in the kernel, or for its reader, for longer than the 50 ms that a crossing may take, and the connection was closed over it. A close for want of anything to do now also asks whether input is unread or being read.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -233,7 +233,7 @@
 			}
 		case director.CloseClient:
 			if c := d.clients[o.Conn]; c == nil {
-			} else if p, ok := c.UserData().(*peer); ok && o.Idle && p.pending.Load() > 0 {
+			} else if p, ok := c.UserData().(*peer); ok && o.Idle && (p.pending.Load() > 0 || c.InputPending()) {
 				stillActive = append(stillActive, o.Conn)
 			} else if o.Code == 0 && !c.Queued() {
 				c.Abort()
--- a/internal/platform/fixture_test.go
+++ b/internal/platform/fixture_test.go
@@ -115,23 +115,32 @@
 	nodes         []*emulatedNode
 	probeClient   *emulatedClient // sends probes beside the connection under test; made on first use
 	closedClients atomic.Int32    // client connections whose end the director has handled
+
+	beforeMessage atomic.Pointer[func()] // called before each message of a client is handled; nil: nothing is
 }
 
 // A countingProtocol counts the client connections that have ended.
 type countingProtocol struct {
 	*Protocol
-	closedClients *atomic.Int32
+	fixture *fixture
 }
 
 func (p countingProtocol) Listen(h transport.Handler) (*transport.Server, error) {
-	return p.Protocol.Listen(countingHandler{h, h.(transport.AdmissionHandler), p.closedClients})
+	return p.Protocol.Listen(countingHandler{h, h.(transport.AdmissionHandler), p.fixture})
 }
 
 // A countingHandler passes events on to the daemon's handler and counts closed connections.
 type countingHandler struct {
 	transport.Handler
 	transport.AdmissionHandler
-	closedClients *atomic.Int32
+	fixture *fixture
+}
+
+func (h countingHandler) Message(c *transport.Conn, m []byte) {
+	if before := h.fixture.beforeMessage.Load(); before != nil {
+		(*before)()
+	}
+	h.Handler.Message(c, m)
 }
 
 func (h countingHandler) InputEnded(c *transport.Conn, reason error) {
@@ -140,7 +149,7 @@
 
 func (h countingHandler) Closed(c *transport.Conn, reason error, unsent []uint64) {
 	h.Handler.Closed(c, reason, unsent)
-	h.closedClients.Add(1)
+	h.fixture.closedClients.Add(1)
 }
 
 // testSettings are the settings of a deployment, limited to the keys that a director reads.
@@ -194,7 +203,7 @@
 	if wrap != nil {
 		decider = wrap(decider)
 	}
-	p.d, err = daemon.StartWithProtocol(countingProtocol{protocol, &p.closedClients}, config, "b", 1, decider, zerolog.Nop())
+	p.d, err = daemon.StartWithProtocol(countingProtocol{protocol, p}, config, "b", 1, decider, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/transport/linger.go
+++ b/internal/transport/linger.go
@@ -14,6 +14,15 @@
 // shutdownWrite ends the sending side of the socket. What the peer sends can still be read.
 func shutdownWrite(fd int) { _ = unix.Shutdown(fd, unix.SHUT_WR) }
 
+// unreadBytes returns how many bytes wait in the kernel to be read, or 0 if the kernel does not say.
+func unreadBytes(fd int) int {
+	n, err := unix.IoctlGetInt(fd, unix.SIOCINQ)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
 // setUserTimeout limits how long the kernel tries to send to a peer that acknowledges nothing, also after the close.
 // Otherwise unsent bytes would stay in the kernel for minutes, and the peer would not learn of the close.
 func setUserTimeout(fd int, timeout time.Duration) {
--- a/internal/transport/memory.go
+++ b/internal/transport/memory.go
@@ -76,6 +76,8 @@
 
 func (m *memoryConn) resetOnClose() {}
 
+func (m *memoryConn) unread() int { return 0 }
+
 func (m *memoryConn) closeWrite() {}
 
 func (m *memoryConn) setCloseTimeout(time.Duration) {}
--- a/internal/transport/read.go
+++ b/internal/transport/read.go
@@ -29,6 +29,8 @@
 	if n > maxBurstBytes+c.limits.MaxMessageBytes {
 		c.EndInput(fmt.Errorf("%w: %d bytes at once", ErrTooLarge, n), ws.StatusPolicyViolation)
 	}
+	c.handling.Store(true) // before Next, after which the bytes no longer count as unread
+	defer c.handling.Store(false)
 	in, err := r.Next(n)
 	if err != nil {
 		return err
@@ -37,6 +39,19 @@
 	return r.Release()
 }
 
+// InputPending reports whether input has arrived that was not passed to the handler, or is being passed to it.
+func (c *Conn) InputPending() bool {
+	if c.inputEnded.Load() {
+		return false
+	}
+	if c.handling.Load() {
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.usable && c.raw.unread() > 0
+}
+
 // recoverPanic ends the input of a connection whose handler has panicked because of a bug in the program, and counts
 // the panic. Otherwise netpoll's pool would write about it to standard error itself.
 func (c *Conn) recoverPanic() {
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -61,6 +61,7 @@
 	messageCompleted bool        // a message of a SplitFunc protocol was completed since the last updateMessageTimer
 	messageTimer     *time.Timer // runs while a message of a SplitFunc protocol is received in part
 	inputEnded       atomic.Bool // further input is discarded
+	handling         atomic.Bool // input is being passed to the handler
 
 	closeOnce         sync.Once
 	mu                sync.Mutex
--- a/internal/transport/write.go
+++ b/internal/transport/write.go
@@ -28,6 +28,9 @@
 	write(p []byte) (int, error)
 	// resetOnClose makes the following close a TCP reset. It is called under the same conditions as write.
 	resetOnClose()
+	// unread returns the number of bytes that have arrived and were not passed to the connection. It is called under the
+	// same conditions as write.
+	unread() int
 	// closeWrite ends the sending side; input still arrives. It is called under the same conditions as write.
 	closeWrite()
 	// setCloseTimeout limits how long the kernel tries to deliver written bytes after the close. It is called under the
@@ -91,6 +94,8 @@
 	return max(0, n), err
 }
 
+func (s socketConn) unread() int { return s.Reader().Len() + unreadBytes(s.descriptor) }
+
 func (s socketConn) closeWrite() { shutdownWrite(s.descriptor) }
 
 func (s socketConn) resetOnClose() { setResetOnClose(s.descriptor) }
