--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -45,6 +45,7 @@
 	discoveryMoved   chan struct{}          // signals a new discovery address
 
 	lastConnID         atomic.Uint64
+	stopRequestedAt    atomic.Int64 // on the clock of now; 0: not requested
 	lastSnapshot       atomic.Pointer[snapshot]
 	malformedCounts    [3]atomic.Int64 // malformed messages from clients, nodes and discovery
 	malformedLogLimits [3]rate.Sometimes
--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -8,7 +8,10 @@
 )
 
 // Stop starts the director's orderly shutdown, which package shutdown controls; Done signals its end.
-func (d *Daemon) Stop() { d.inbox.put(item{input: director.Stop{}}) }
+func (d *Daemon) Stop() {
+	d.stopRequestedAt.CompareAndSwap(0, max(1, int64(d.now())))
+	d.inbox.put(item{input: director.Stop{}})
+}
 
 // Done is closed once the director has ended.
 func (d *Daemon) Done() <-chan struct{} { return d.done }
@@ -30,12 +33,22 @@
 	}
 }
 
-// drainConnections closes client connections gracefully, waits up to twice the write time-out for queued data to go
-// out, and then closes every connection that remains.
+// drainTime returns how long the queued data of client connections may take to go out at the end: twice the write time-out,
+// but not longer than until the process has to exit.
+func (d *Daemon) drainTime() time.Duration {
+	limit := 2 * d.config.ConnectionLimits.Clients.WriteTimeout
+	if exit := d.config.ShutdownPolicy.ExitTime; exit > 0 {
+		limit = min(limit, time.Duration(d.stopRequestedAt.Load())+exit-d.now())
+	}
+	return limit
+}
+
+// drainConnections closes client connections gracefully, waits up to drainTime for queued data to go out, and then
+// closes every connection that remains.
 func (d *Daemon) drainConnections() {
 	d.server.SetRefusing(true)
 	d.server.Each(func(c *transport.Conn) { c.Close(closeGoingAway, "director closes") }) // a message received in part is not a request
-	for deadline := time.Now().Add(d.config.ConnectionLimits.Clients.WriteTimeout * 2); time.Now().Before(deadline); {
+	for deadline := time.Now().Add(d.drainTime()); time.Now().Before(deadline); {
 		open := 0
 		d.server.Each(func(*transport.Conn) { open++ })
 		if open == 0 {
--- a/internal/platform/start_config.go
+++ b/internal/platform/start_config.go
@@ -213,7 +213,7 @@
 	}
 	config.ReconnectPolicy.SetSilenceLimit(max(minSilenceLimit, silenceLimit))
 	config.ShutdownPolicy = shutdown.Policy{Timeout: c.shutdownTimeout(), BatchInterval: 200 * time.Millisecond,
-		MinDuration: c.minShutdownTime(), CloseTimeout: c.clientCloseTimeout()}
+		MinDuration: c.minShutdownTime(), CloseTimeout: c.clientCloseTimeout(), ExitTime: c.maxHardStop() + killAfter - exitMargin}
 	sockets := c.Limits.Sockets
 	if sockets == 0 {
 		sockets = 1024
@@ -264,6 +264,7 @@
 	lateRequestWindow  = 700 * time.Millisecond
 	shutdownMargin     = 300 * time.Millisecond // part of killAfter; the rest is for data that is still being sent
 	maxClientCloseTime = 150 * time.Millisecond // for client connections to close
+	exitMargin         = 50 * time.Millisecond  // part of killAfter in which the process exits
 )
 
 // The platform's rule for sessions whose node can send nothing any more: their clients are notified within maxEndNotice.
--- a/shutdown/shutdown.go
+++ b/shutdown/shutdown.go
@@ -11,6 +11,7 @@
 	BatchInterval time.Duration // time between two batches of ended sessions
 	MinDuration   time.Duration // shortest duration of a shutdown: until then, clients that still connect get an answer
 	CloseTimeout  time.Duration // longest time to close the client connections, once nothing else remains
+	ExitTime      time.Duration // from the start until the process has to exit, whatever is still being written; 0: no limit
 }
 
 // Remaining is what a director still has: owed answers, playing sessions and client connections. An answer is owed for
