Hand-overs of more than 1 MB in one read are no flood

The whole check failed once in TestManyEndsInOneWrite: not all of 6,144 sessions were adopted. On a busy machine the messages of one write, 1.04 MB, are read at once, and more than 1 MB unread ended the connection's input as a flood; the rest was lost.

--- a/internal/transport/read.go
+++ b/internal/transport/read.go
@@ -12,10 +12,11 @@
 )
 
 // maxHandshakeBytes is the largest request head of a handshake. maxBurstBytes is how much unread input beyond one
-// message a peer may have sent before the next read.
+// message a peer may have sent before the next read: clients hand over in one write what plays when a director starts, and
+// the loop accepts a backlog of 16,384 such messages, of less than 200 bytes each.
 const (
 	maxHandshakeBytes = 4 << 10
-	maxBurstBytes     = 1 << 20
+	maxBurstBytes     = 4 << 20
 )
 
 // read handles all available input. netpoll calls it repeatedly while input is left.
