Two tests of many messages: the client connects when the messages are there

The whole check failed twice in TestManyEndsInOneWrite (not all sessions were adopted). With the race detector on a busy machine the test took over 2 s to build its messages after it had connected, and a client that sends nothing for 2 s is closed by design. The messages are built first now, in both tests; their checks are unchanged. Also a data race of the soak's own: two faults at one endpoint shared a list.

--- a/internal/platform/endings_test.go
+++ b/internal/platform/endings_test.go
@@ -49,11 +49,11 @@
 func TestManyHandOversInOneWrite(t *testing.T) {
 	const sessions = 4 * maxInboxPerPeer
 	p := startFixture(t, 1, "")
-	client := p.newClient()
 	var all []byte
 	for i := range uint64(sessions) {
 		all = append(all, handOverMessage(1+i, 0)...)
 	}
+	client := p.newClient() // not before: it has to send something within 2 s
 	entered, read := make(chan struct{}), make(chan struct{})
 	slowRead := func() { close(entered); <-read }
 	p.beforeMessage.Store(&slowRead)
@@ -73,13 +73,13 @@
 func TestManyEndsInOneWrite(t *testing.T) {
 	const sessions = 3 * maxInboxPerPeer
 	p, decider := startBlockingFixture(t, 512, 1)
-	client := p.newClient()
 	var handOvers []byte
 	var ends string
 	for i := range uint64(sessions) {
 		handOvers = append(handOvers, handOverMessage(1+i, 0)...)
 		ends += platformtest.Teardown(sessionID(1+i), causeEnded)
 	}
+	client := p.newClient() // not before: it has to send something within 2 s
 	client.send(handOvers)
 	p.wait("not all sessions were adopted", func() bool { return p.d.Counts().Adopted == sessions })
 	p.newClient().send(setupMessage(sessions+1, defaultPlacement))
--- a/internal/soak/endpoint.go
+++ b/internal/soak/endpoint.go
@@ -166,18 +166,15 @@
 		raw.Control(func(fd uintptr) { unix.Listen(int(fd), queue) })
 	}
 	if !unreachable {
-		for _, c := range e.fillers {
-			c.Close()
-		}
-		e.fillers = nil
+		e.closeFillers()
 		return
 	}
 	for range fillers {
 		if c, err := net.DialTimeout("tcp", e.ln.Addr().String(), 20*time.Millisecond); err == nil {
 			e.mu.Lock()
 			e.fillerPorts[c.LocalAddr().String()] = true
-			e.mu.Unlock()
 			e.fillers = append(e.fillers, c)
+			e.mu.Unlock()
 		}
 	}
 }
@@ -213,9 +210,17 @@
 	e.ln.Close()
 	e.resetConns()
 	e.set(func() { e.inputBlocked, e.outputBlocked, e.unreachable = false, false, false })
+	e.closeFillers()
+}
+
+// closeFillers closes the connections that fill the accept queue.
+func (e *endpoint) closeFillers() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	for _, c := range e.fillers {
 		c.Close()
 	}
+	e.fillers = nil
 }
 
 // connOf returns the connection on which a server sends what concerns a session: that of its set-up if it is open, else
