Review: three cases, with claims and scripts

Case 1: memory over the limit under bad clients. Case 2: sessions on servers that return cold stand for ever. Case 3: ends that wait for a connection are dropped at a planned restart.

--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -163,25 +163,37 @@
 	}
 }
 
-// setup asks for a session on the connection.
-func (c *client) setup(class string, wait, length time.Duration) *session {
+// classes are the classes of the settings, with how long a viewer waits.
+var classes = []struct {
+	name string
+	wait time.Duration
+}{{"prog-intro", 4 * time.Second}, {"listen-test", 3 * time.Second}, {"apply-guide", 5 * time.Second}}
+
+// setup asks for a session of a class and of a length on the connection. Each session has a title of its own, which all
+// servers hold.
+func (c *client) setup(class int, length time.Duration) *session {
 	v := c.viewers
 	v.mu.Lock()
 	v.nextID++
 	s := &session{id: v.nextID, sentAt: time.Now()}
 	v.sessions[s.id] = s
 	v.mu.Unlock()
-	m := clientMessage(kindSetup, s.id, parameter{codeClass, class}, parameter{codeWait, fmt.Sprint(wait.Milliseconds())},
-		parameter{codeTitle, "7f3a9c21e0b4d655"}, parameter{codeHint, fmt.Sprintf("%d.0", length.Milliseconds())},
-		parameter{codePlacement, fmt.Sprintf("home:0;copies:10;top:3;viewer:%016x", s.id&0xffff)},
-		parameter{codeDescription, fmt.Sprintf("%016x\r\nc=IN IP4 10.4.7.9\r\n", s.id)})
-	v.record.note("%s sends set-up %016x, class %s, wait %v", c.name, s.id, class, wait)
+	x := classes[class%len(classes)]
+	m := setupMessage(s.id, x.name, x.wait, length, fmt.Sprintf("%016x\r\nc=IN IP4 10.4.7.9\r\n", s.id))
+	v.record.note("%s sends set-up %016x, class %s, wait %v", c.name, s.id, x.name, x.wait)
 	if _, err := c.conn.Write(m); err != nil {
 		v.record.note("%s: %v", c.name, err)
 	}
 	return s
 }
 
+func setupMessage(id uint64, class string, wait, length time.Duration, description string) []byte {
+	return clientMessage(kindSetup, id, parameter{codeClass, class}, parameter{codeWait, fmt.Sprint(wait.Milliseconds())},
+		parameter{codeTitle, fmt.Sprintf("%016x", id)}, parameter{codeHint, fmt.Sprintf("%d.0", length.Milliseconds())},
+		parameter{codePlacement, fmt.Sprintf("home:0;copies:%d;top:3;viewer:%016x", serverCount, id&0xffff)},
+		parameter{codeDescription, description})
+}
+
 // reset ends the connection with a TCP reset.
 func (c *client) reset() {
 	_ = c.conn.(*net.TCPConn).SetLinger(0)
@@ -194,14 +206,7 @@
 	_, _ = c.conn.Write(clientMessage(kindTest, 1, parameter{codeCause, "\x00"}))
 }
 
-// state returns a copy of a session.
-func (v *viewers) state(s *session) session {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return *s
-}
-
-// all returns copies of all sessions that stood at some time.
+// standing returns copies of all sessions that stood at some time.
 func (v *viewers) standing() (all []session) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -212,3 +217,16 @@
 	}
 	return all
 }
+
+// setUpSessions asks for 20 sessions on the connection, four a second, and reports whether most of them stand then.
+func (c *client) setUpSessions(length time.Duration) bool {
+	const wanted, enough = 20, 15
+	for i := range wanted {
+		c.setup(i, length)
+		time.Sleep(250 * time.Millisecond)
+	}
+	time.Sleep(2 * time.Second)
+	stood := len(c.viewers.standing())
+	c.viewers.record.say("%d of %d sessions stand", stood, wanted)
+	return stood >= enough
+}
--- a/review/standin/discovery.go
+++ b/review/standin/discovery.go
@@ -84,9 +84,9 @@
 	p := binary.BigEndian.AppendUint32(nil, s.id)
 	p = append(p, addr.IP.To4()...)
 	p = binary.BigEndian.AppendUint16(p, uint16(addr.Port))
-	p = append(p, state, 0, 0)
+	p = append(p, state, 0, byte(s.kind()))
 	p = binary.BigEndian.AppendUint16(p, uint16(s.cell))
-	p = binary.BigEndian.AppendUint32(p, 1000)
+	p = binary.BigEndian.AppendUint32(p, uint32(1000*s.weight()))
 	ms := uint64(0)
 	if !started.IsZero() {
 		ms = uint64(started.UnixMilli())
--- a/review/standin/case2.go
+++ b/review/standin/ends_at_shutdown.go
@@ -9,24 +9,16 @@
 // director is restarted as planned. What it ends has to be released towards its client.
 func endsAtShutdown(t *trial, trouble bool) int {
 	const (
-		noteInterval = 4500 * time.Millisecond
-		wait         = 3 * time.Second
-		length       = 50 * time.Second
-		killAfter    = 3700 * time.Millisecond // PROTOCOL.md: the longest deadline, 3 s, and 0.7 s
+		length    = 50 * time.Second
+		killAfter = 3700 * time.Millisecond // PROTOCOL.md: the longest deadline, 3 s, and 0.7 s
 	)
-	t.start(10, noteInterval)
+	t.start()
 	v := newViewers(t.record)
 	first := t.connect(v, "viewer connection 1", t.listen)
-	for i := range 20 {
-		first.setup([]string{"review", "sign-off"}[i%2], wait, length)
-		time.Sleep(250 * time.Millisecond)
-	}
-	time.Sleep(wait)
-	stood := v.standing()
-	t.record.say("%d sessions stand", len(stood))
-	if len(stood) < 15 {
+	if !first.setUpSessions(length) {
 		return notRun
 	}
+	stood := v.standing()
 	if trouble {
 		t.record.note("viewer connection 1 is reset by the network")
 		first.reset()
@@ -39,7 +31,7 @@
 	t.signal(syscall.SIGTERM)
 	time.Sleep(300 * time.Millisecond)
 	third := t.connect(v, "viewer connection 3", t.listen)
-	third.setup("review", wait, length)
+	third.setup(0, length)
 	select {
 	case <-t.exited:
 	case <-time.After(time.Until(stopAt.Add(killAfter))):
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -23,8 +23,9 @@
 
 // cases are the cases by number. Each gets the trial and whether the disruption takes place, and returns an exit code.
 var cases = map[int]func(t *trial, trouble bool) int{
-	1: returnsCold,
-	2: endsAtShutdown,
+	1: memoryLimit,
+	2: returnsCold,
+	3: endsAtShutdown,
 }
 
 func main() {
--- a/review/standin/case1.go
+++ b/review/standin/returns_cold.go
@@ -18,24 +18,16 @@
 		wait         = 3 * time.Second
 		length       = 40 * time.Second
 	)
-	t.start(10, noteInterval)
+	t.start()
 	v := newViewers(t.record)
 	c := t.connect(v, "viewer connection 1", t.listen)
-	var sessions []*session
-	for i := range 20 {
-		sessions = append(sessions, c.setup([]string{"review", "sign-off"}[i%2], wait, length))
-		time.Sleep(250 * time.Millisecond)
-	}
-	time.Sleep(wait)
-	stood := v.standing()
-	t.record.say("%d of %d sessions stand", len(stood), len(sessions))
-	if len(stood) < 15 {
+	if !c.setUpSessions(length) {
 		return notRun
 	}
-	// The three servers with the most sessions; the loss comes right after the notes of the first of them.
+	// Three in ten, the servers with the most sessions. The loss comes right after the notes of the first of them.
 	servers := slices.Clone(t.servers)
 	slices.SortStableFunc(servers, func(a, b *server) int { return len(b.sessions()) - len(a.sessions()) })
-	lost := servers[:3]
+	lost := servers[:serverCount*3/10]
 	if !waitFor(2*noteInterval, func() bool { return lost[0].noteAge() < 100*time.Millisecond }) {
 		return notRun
 	}
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -16,11 +16,10 @@
 // A server is a media server. It accepts each set-up at once and reports the load of its link and uplink at the set-up
 // and then once an interval.
 type server struct {
-	record       *record
-	id           uint32
-	cell         int
-	noteInterval time.Duration
-	listener     *net.TCPListener
+	record   *record
+	id       uint32
+	cell     int
+	listener *net.TCPListener
 
 	mu        sync.Mutex
 	up        chan struct{} // closed while the machine is up
@@ -42,10 +41,10 @@
 	mu   sync.Mutex
 }
 
-func newServer(r *record, id uint32, cell int, noteInterval time.Duration) *server {
+func newServer(r *record, id uint32, cell int) *server {
 	ln, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	must(err)
-	s := &server{record: r, id: id, cell: cell, noteInterval: noteInterval, listener: ln, up: make(chan struct{}), life: 1,
+	s := &server{record: r, id: id, cell: cell, listener: ln, up: make(chan struct{}), life: 1,
 		conns: map[*serverConn]bool{}, standing: map[string]*serverConn{}, fillers: map[string]bool{}}
 	close(s.up)
 	go s.accept()
@@ -56,6 +55,10 @@
 func (s *server) name() string    { return fmt.Sprintf("s-%08x", s.id) }
 func (s *server) address() string { return s.listener.Addr().String() }
 
+// kind is the server's kind of machine, as its place in the settings. A machine of the second kind has twice the weight.
+func (s *server) kind() int       { return s.cell % 2 }
+func (s *server) weight() float64 { return float64(1 + s.kind()) }
+
 // awaitUp waits until the machine is up.
 func (s *server) awaitUp() {
 	s.mu.Lock()
@@ -172,7 +175,7 @@
 
 // report sends the notes on one session once an interval, on the connection of its set-up or another one.
 func (s *server) report() {
-	for range time.Tick(s.noteInterval) {
+	for range time.Tick(noteInterval) {
 		s.awaitUp()
 		s.mu.Lock()
 		for id, c := range s.standing {
