--- a/review/standin/record.go
+++ b/review/standin/record.go
@@ -20,9 +20,6 @@
 	return &record{start: time.Now(), file: file, out: bufio.NewWriter(file)}
 }
 
-// since returns the time since the record's start.
-func (r *record) since() time.Duration { return time.Since(r.start) }
-
 // note writes a line.
 func (r *record) note(format string, args ...any) {
 	r.mu.Lock()
