--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -8,6 +8,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -54,8 +56,12 @@
 		}()
 		code <- play(t, *trouble)
 	}()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, os.Interrupt, syscall.SIGTERM)
 	result := notRun
 	select {
+	case got := <-stopped:
+		t.record.note("the case was stopped by signal %v", got)
 	case result = <-code:
 	case <-time.After(caseTimeout):
 		t.record.note("the case did not end in %v", caseTimeout)
