Director: a told start ends what an earlier process held, whatever was known of it

Cause: a new start counted as a restart only if the earlier start was known and the server was on the list. Servers that are there when the director starts have start 0, and a restart may follow "gone". What belonged to the earlier process was decided by when a set-up was chosen, not by the connection that it went out on.

Change: each told start that differs counts. A connection leads to one process while it is open, so one made before the told start leads to an earlier process, with its set-ups and sessions; one made later does not. Ages of servers include the time that their message waited for the loop.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -197,6 +197,10 @@
 		d.links[e.Link] = i.conn
 	case director.LinkLost:
 		delete(d.links, e.Link)
+	case director.DiscoveryReceived:
+		if !i.receivedAt.IsZero() {
+			addAge(e.Message.Nodes, time.Since(i.receivedAt))
+		}
 	case director.DiscoveryConnected:
 		d.discovery = i.conn
 	case director.DiscoveryLost:
--- a/internal/daemon/discovery.go
+++ b/internal/daemon/discovery.go
@@ -6,6 +6,7 @@
 	"fordusher/connector"
 	"fordusher/internal/director"
 	"fordusher/internal/transport"
+	"fordusher/internal/wire"
 )
 
 // SetDiscoveryAddress changes the discovery service's address; the daemon then connects there.
@@ -88,7 +89,8 @@
 		return
 	}
 	if m.Type != "" {
-		h.d.enqueueBounded(c, item{input: director.DiscoveryReceived{Message: m}, peer: &h.peer, held: messageCost(len(raw))})
+		h.d.enqueueBounded(c, item{input: director.DiscoveryReceived{Message: m}, peer: &h.peer, receivedAt: time.Now(),
+			held: messageCost(len(raw))})
 	}
 }
 
@@ -96,3 +98,12 @@
 	h.d.inbox.put(item{input: director.DiscoveryLost{}})
 	close(h.closed)
 }
+
+// addAge adds to the ages of nodes the time that has passed since they were received: the loop relates them to its own time.
+func addAge(nodes []wire.NodeEntry, passed time.Duration) {
+	for i := range nodes {
+		if nodes[i].UptimeMS > 0 {
+			nodes[i].UptimeMS += passed.Milliseconds()
+		}
+	}
+}
--- a/internal/director/attempt.go
+++ b/internal/director/attempt.go
@@ -35,7 +35,8 @@
 	deadlineTimer timerqueue.Handle
 	link          uint64 // the connection that its set-up was sent on
 	startedAt     time.Duration
-	rungPending   bool // detached mode: the rung has to be sent once the node is connected
+	processSeenAt time.Duration // a time at which the node's process that has the leg was running; see nodeRestarted
+	rungPending   bool          // detached mode: the rung has to be sent once the node is connected
 }
 
 func (l *Loop) setLegPhase(g *leg, to legPhase) {
@@ -93,6 +94,7 @@
 	s := g.session
 	l.setLegPhase(g, legSent)
 	g.link, g.node.lastUsed = g.node.link, l.now
+	g.processSeenAt = g.node.connectedAt
 	l.attemptEvent(AttemptSent, g, "")
 	l.emit(SendNode{Link: g.link, Setup: g.id, Message: wire.NodeMessage{
 		Type: wire.Setup, Leg: g.id, Session: s.name, Tariff: l.tariffs[s.tariff].Name, Title: s.title,
--- a/internal/director/detached.go
+++ b/internal/director/detached.go
@@ -124,7 +124,7 @@
 	}
 	s.rung = l.tariffs[tariff].Floor
 	l.lastLeg++
-	g := &leg{id: l.lastLeg, session: s, node: n, phase: legPlaying, startedAt: l.now}
+	g := &leg{id: l.lastLeg, session: s, node: n, phase: legPlaying, startedAt: l.now, processSeenAt: l.now}
 	s.leg = g
 	l.sessions[s.id], l.sessionsByKey[s.key], l.legs[g.id], n.legs[g.id] = s, s, g, g
 	l.playing++
@@ -252,14 +252,26 @@
 	l.updateLinkNeed(n)
 }
 
-// nodeRestarted closes a connection from before a node's restart and ends the sessions that played there before it.
+// startOrderTolerance is how much earlier than the start of a process something must have happened to be taken for earlier:
+// start times are told in whole milliseconds.
+const startOrderTolerance = 10 * time.Millisecond
+
+// nodeRestarted ends, in detached mode, what belongs to a process of the node from before its start, as discovery reports
+// it. A connection leads to the same process for as long as it is open, so one that was made before the start leads to an
+// earlier process, with all set-ups that were sent on it and the sessions that these became, and one made later does not.
+// Of a session that was handed over, only the time of the hand-over is known.
 func (l *Loop) nodeRestarted(n *node) {
-	if n.connected && n.connectedAt < n.startedAt {
+	earlier := func(at time.Duration) bool { return at+startOrderTolerance < n.startedAt }
+	if n.connected && earlier(n.connectedAt) {
 		l.disconnect(n, closedAsRestarted)
 	}
 	for _, g := range sorted(n.legs) {
-		if g.phase == legPlaying && g.startedAt < n.startedAt {
+		switch {
+		case g.phase == legWaiting || !earlier(g.processSeenAt):
+		case g.phase == legPlaying:
 			l.endLeg(g, outcomeBroken, nil)
+		default:
+			l.endLeg(g, outcomeReset, nil)
 		}
 	}
 }
--- a/internal/director/discovery.go
+++ b/internal/director/discovery.go
@@ -132,11 +132,8 @@
 	if startedAt != policy.UnknownStart && (renewed || startedAt > n.startedAt+startTimeTolerance) {
 		n.startedAt = startedAt
 	}
-	if l.options.Detached && changed && n.listed && n.incarnation != 0 {
-		l.nodeRestarted(n)
-	}
-	entry.StartedAt = n.startedAt
 	n.setIncarnation(e.Incarnation)
+	entry.StartedAt = n.startedAt
 	n.acceptsSessions, n.entry = e.State == wire.Up, entry
 	switch {
 	case e.State == wire.Removed:
@@ -155,6 +152,9 @@
 			l.stepConnector(connector.Event{Node: n.index, Kind: connector.Listed})
 		}
 	}
+	if l.options.Detached && changed && e.Incarnation != 0 { // also after a time off the list, or after an unknown start
+		l.nodeRestarted(n)
+	}
 	return entry
 }
 
