Shutdown: ends that wait for a connection are delivered before the director stops

Cause: a shutdown counted owed answers, sessions and client connections, and not the ends that wait for a connection; it closed connections as soon as the last end was written, and reset those to servers with their queues.

Change: waiting ends, to clients and to servers, are part of what remains; connections are closed 0.2 s after the last end was sent at the earliest, so that one on a lost connection is sent on another; a session handed over while connections are closed is ended on its own; connections to servers are closed after their queues are written; the closing of the listener spares a connection with a request that is not read yet. All within the time limit.

--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -43,14 +43,22 @@
 	return limit
 }
 
-// drainConnections closes client connections gracefully, waits up to drainTime for queued data to go out, and then
-// closes every connection that remains.
+// drainConnections closes the connections to clients and nodes gracefully, waits up to drainTime for queued data to go
+// out, and then closes every connection that remains.
 func (d *Daemon) drainConnections() {
 	d.server.SetRefusing(true)
 	d.server.Each(func(c *transport.Conn) { c.Close(closeGoingAway, "director closes") }) // a message received in part is not a request
+	for _, c := range d.links {
+		c.Close(closeGoingAway, "director closes")
+	}
 	for deadline := time.Now().Add(d.drainTime()); time.Now().Before(deadline); {
 		open := 0
 		d.server.Each(func(*transport.Conn) { open++ })
+		for _, c := range d.links {
+			if c.Queued() {
+				open++
+			}
+		}
 		if open == 0 {
 			break
 		}
--- a/internal/director/detached.go
+++ b/internal/director/detached.go
@@ -140,9 +140,13 @@
 		MaxRung: top, Deadline: l.now,
 		PlayingOn: n.name,
 	})
-	if ended { // its node has to be notified
+	switch {
+	case ended: // its node has to be notified
 		l.counts.EndedEarly++
 		l.endDetached(s, end.conn)
+	case l.closingClients: // its connection is closed next, and no other may be left
+		l.notifySessionEnded(s, "director closes")
+		l.abandonSession(s, "director closes")
 	}
 }
 
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -97,6 +97,7 @@
 	rejectedConns  []uint64            // most recently rejected connections; emptied as they close
 	sentEndings    []sentEnding        // endings that may not have been read, the oldest first
 	undelivered    []undeliveredEnding // endings without a connection to notify; emptied as they are sent or expire
+	lastEndSentAt  time.Duration       // when the last ending was passed to a connection; 0: none was
 	lastProvenConn uint64              // connection of the latest session to start playing; 0: none
 
 	// Ends of sessions in detached mode: of unknown sessions, from nodes and from clients, and of the loop's own.
--- a/internal/director/notify.go
+++ b/internal/director/notify.go
@@ -72,6 +72,7 @@
 func (l *Loop) sendEnding(c *conn, m wire.SessionMessage) {
 	l.event(Event{Kind: SessionEnded, Request: m.ID, Conn: c.id, Reason: m.Reason})
 	l.emit(SendClient{Conn: c.id, Message: m})
+	l.lastEndSentAt = max(1, l.now)
 	l.forgetSentEndings()
 	if len(l.sentEndings) >= l.maxKeptEnds() {
 		l.sentEndings = l.sentEndings[1:]
@@ -102,7 +103,7 @@
 
 // repeatEndings sends again what was sent last on a connection that has ended, unless the director itself has closed it.
 func (l *Loop) repeatEndings(c *conn) {
-	if c.closing || l.closingClients {
+	if c.closing || c.shutdownClose {
 		return
 	}
 	l.forgetSentEndings()
--- a/internal/director/shutdown.go
+++ b/internal/director/shutdown.go
@@ -15,8 +15,10 @@
 
 // stepShutdown carries out the next step of the shutdown in progress.
 func (l *Loop) stepShutdown() {
-	plan := l.shutdown.Step(l.now, shutdown.Remaining{Owed: l.owed, Playing: l.playing, Clients: len(l.conns)})
+	plan := l.shutdown.Step(l.now, shutdown.Remaining{Owed: l.owed, Playing: l.playing, Ends: l.waitingEnds(),
+		LastEndSentAt: l.lastEndSentAt, Clients: len(l.conns)})
 	if plan.CloseClients {
+		l.deliverLeft()
 		l.closeClients(plan.Done)
 	}
 	if plan.Done && l.mayShutDown() {
@@ -40,6 +42,26 @@
 	l.timers.Add(plan.NextStep, timer{timerShutdown, 0})
 }
 
+// waitingEnds returns how many ends of sessions wait for a connection, to a client or to a node.
+func (l *Loop) waitingEnds() int {
+	l.dropExpiredUndelivered()
+	waiting := len(l.undelivered)
+	for _, n := range l.nodes {
+		waiting += len(n.pendingEnds)
+	}
+	return waiting
+}
+
+// deliverLeft sends the ends that still wait when client connections are about to be closed on any of these.
+func (l *Loop) deliverLeft() {
+	if len(l.undelivered) == 0 {
+		return
+	}
+	if c := l.anyConn(func(*conn) bool { return true }); c != nil {
+		l.deliverUndelivered(c, l.now)
+	}
+}
+
 // closeClients stops accepting and closes the client connections. One on which a message was read meanwhile stays open
 // until that is answered, unless this is the last call.
 func (l *Loop) closeClients(last bool) {
--- a/internal/platform/start_config.go
+++ b/internal/platform/start_config.go
@@ -221,7 +221,7 @@
 	}
 	config.ReconnectPolicy.SetSilenceLimit(max(minSilenceLimit, silenceLimit))
 	config.ShutdownPolicy = shutdown.Policy{Timeout: c.shutdownTimeout(), BatchInterval: 200 * time.Millisecond,
-		MinDuration: c.minShutdownTime(), CloseTimeout: c.clientCloseTimeout(), ExitTime: c.maxHardStop() + killAfter - exitMargin}
+		MinDuration: c.minShutdownTime(), SettleTime: endSettleTime, CloseTimeout: c.clientCloseTimeout(), ExitTime: c.maxHardStop() + killAfter - exitMargin}
 	sockets := c.Limits.Sockets
 	if sockets == 0 {
 		sockets = 1024
@@ -276,6 +276,7 @@
 	lateRequestWindow  = 700 * time.Millisecond
 	shutdownMargin     = 300 * time.Millisecond // part of killAfter; the rest is for data that is still being sent
 	maxClientCloseTime = 150 * time.Millisecond // for client connections to close
+	endSettleTime      = 200 * time.Millisecond // for clients to read ends of sessions before their connections are closed
 	exitMargin         = 50 * time.Millisecond  // part of killAfter in which the process exits
 )
 
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -116,7 +116,7 @@
 func (s *Server) StopAccepting() {
 	s.stop()
 	s.Each(func(c *Conn) {
-		if c.lastRead.Load() == 0 {
+		if c.lastRead.Load() == 0 && !c.InputPending() {
 			c.Abort()
 		}
 	})
--- a/shutdown/shutdown.go
+++ b/shutdown/shutdown.go
@@ -1,6 +1,7 @@
 // Package shutdown decides how a director that is asked to stop ends its sessions. New requests are no longer
 // accepted, every owed answer is sent first, and the playing sessions are ended in batches that double, so that their
-// clients do not all connect to the other directors at the same time. The package does no I/O and has no clock.
+// clients do not all connect to the other directors at the same time. The director stops when every end has been sent
+// and has had time to be read. The package does no I/O and has no clock.
 package shutdown
 
 import "time"
@@ -10,13 +11,18 @@
 	Timeout       time.Duration // from the start until the last session has ended and no answer is owed
 	BatchInterval time.Duration // time between two batches of ended sessions
 	MinDuration   time.Duration // shortest duration of a shutdown: until then, clients that still connect get an answer
+	SettleTime    time.Duration // from the last end that was sent until client connections are closed: an end on a connection that is lost is sent again
 	CloseTimeout  time.Duration // longest time to close the client connections, once nothing else remains
 	ExitTime      time.Duration // from the start until the process has to exit, whatever is still being written; 0: no limit
 }
 
-// Remaining is what a director still has: owed answers, playing sessions and client connections. An answer is owed for
-// each request until its final answer is sent.
-type Remaining struct{ Owed, Playing, Clients int }
+// Remaining is what a director still has. An answer is owed for each request until its final answer is sent.
+type Remaining struct {
+	Owed, Playing int           // answers, and sessions that play
+	Ends          int           // ends of sessions that wait for a connection to a client or to a node
+	LastEndSentAt time.Duration // when the last end was sent to a client; 0: none was
+	Clients       int           // client connections
+}
 
 // Plan is what the director has to do now.
 type Plan struct {
@@ -48,8 +54,8 @@
 // within the timeout, the rest is spread evenly over the batches that remain.
 func (s *Sequence) Step(now time.Duration, remaining Remaining) Plan {
 	if remaining.Owed == 0 && remaining.Playing == 0 {
-		if earliest := s.startedAt + s.policy.MinDuration; now < earliest {
-			return Plan{NextStep: earliest}
+		if next := s.earliestClose(now, remaining); now < next {
+			return Plan{NextStep: next}
 		}
 		return s.closeClients(now, remaining)
 	}
@@ -73,6 +79,22 @@
 	return plan
 }
 
+// earliestClose returns when client connections may be closed, or when to ask again: not before MinDuration, nor before
+// every end has been sent and has had SettleTime to be read, unless that takes longer than Timeout.
+func (s *Sequence) earliestClose(now time.Duration, remaining Remaining) time.Duration {
+	if s.closeStartedAt > 0 {
+		return now
+	}
+	earliest, deadline := s.startedAt+s.policy.MinDuration, s.startedAt+s.policy.Timeout
+	if remaining.Ends > 0 {
+		earliest = max(earliest, min(now+closePollInterval, deadline))
+	}
+	if remaining.LastEndSentAt > 0 {
+		earliest = max(earliest, min(remaining.LastEndSentAt+s.policy.SettleTime, deadline))
+	}
+	return earliest
+}
+
 // closeClients closes the client connections. The shutdown is done once none is left or CloseTimeout has passed.
 func (s *Sequence) closeClients(now time.Duration, remaining Remaining) Plan {
 	if s.closeStartedAt == 0 {
