--- a/internal/platform/start_config.go
+++ b/internal/platform/start_config.go
@@ -170,6 +170,7 @@
 	clientQueueBytes         = 256 << 10
 	nodeQueueBytes           = 256 << 10
 	kernelBufferBytes        = 64 << 10
+	receiveBufferBytes       = 128 << 10 // at least two segments of a loopback connection, as the kernel counts
 	discoverySilenceTimeout  = 2200 * time.Millisecond
 	answerMargin             = 20 * time.Millisecond
 	maxRequestsPerConnection = 256
@@ -241,10 +242,9 @@
 		MaxHeldBytes: c.Limits.MemoryMB << 20 / requestMemoryShare, MaxPlaying: int(c.Limits.MemoryMB << 20 / sessionMemoryShare / sessionMemory)}
 	config.ConnectionLimits = conf.ConnectionLimits{
 		Clients: transport.Limits{MaxMessageBytes: maxMessageSize, MaxQueuedBytes: clientQueueBytes, WriteTimeout: writeTimeout,
-			HandshakeTimeout: firstMessageTimeout, KernelBufferBytes: kernelBufferBytes, ReceiveBufferBytes: kernelBufferBytes,
+			HandshakeTimeout: firstMessageTimeout, KernelBufferBytes: kernelBufferBytes, ReceiveBufferBytes: receiveBufferBytes,
 			MaxPendingHandshakes: pendingConnections},
-		Nodes: transport.Limits{MaxMessageBytes: maxMessageSize, MaxQueuedBytes: nodeQueueBytes, WriteTimeout: writeTimeout,
-			ReceiveBufferBytes: kernelBufferBytes},
+		Nodes:     transport.Limits{MaxMessageBytes: maxMessageSize, MaxQueuedBytes: nodeQueueBytes, WriteTimeout: writeTimeout},
 		Discovery: transport.Limits{MaxMessageBytes: maxFrameSize, MaxQueuedBytes: nodeQueueBytes, WriteTimeout: writeTimeout},
 		InboxSize: maxInboxPerPeer,
 	}
--- a/internal/transport/dial.go
+++ b/internal/transport/dial.go
@@ -70,19 +70,16 @@
 	if err != nil {
 		return err
 	}
-	if c.limits.ReceiveBufferBytes > 0 {
-		setReceiveBuffer(descriptor, c.limits.ReceiveBufferBytes)
-	}
 	socket := newSocket(descriptor, peer)
 	socket.conn, c.raw = c, socket
 	c.lastRead.Store(int64(monotonic()))
 	c.input.running = true // nothing is read, and no end is reported, before Opened has returned
-	defer c.endRun()
 	c.handler.Opened(c)
 	if len(in) > 0 {
 		c.handleRecovering(in)
 	}
 	c.beginReading(socket)
+	c.runInput(readBuffers.Get().(*[readBufferBytes]byte), 0, nil) // what the poller has reported meanwhile
 	return nil
 }
 
--- a/internal/transport/linger.go
+++ b/internal/transport/linger.go
@@ -23,8 +23,10 @@
 	return n
 }
 
-// setReceiveBuffer bounds how many unread bytes the kernel keeps. By default the buffer grows to megabytes for a peer
-// that sends much. On an error it keeps its default.
+// setReceiveBuffer bounds how many unread bytes the kernel keeps for each connection of a listener. By default the buffer
+// grows to megabytes for a peer that sends much. On an error it keeps its default. It has to be set before connections are
+// made: one with a smaller buffer than its peer has been told of drops what it can't keep, and waits for that to be sent
+// again.
 func setReceiveBuffer(fd, size int) {
 	_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, size)
 }
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -40,6 +40,9 @@
 }
 
 func serveListener(ln *listener, protocol string, split SplitFunc, limits Limits, handler Handler) (*Server, error) {
+	if limits.ReceiveBufferBytes > 0 {
+		setReceiveBuffer(ln.Fd(), limits.ReceiveBufferBytes)
+	}
 	s := &Server{protocol: protocol, split: split, limits: limits, handler: handler, listener: ln, conns: map[*Conn]bool{}}
 	if err := ln.watch(s); err != nil { // clients are refused rather than left waiting
 		internalErrors.Add(1)
@@ -82,9 +85,6 @@
 		// On an error it keeps its default.
 		_ = unix.SetsockoptInt(descriptor, unix.SOL_SOCKET, unix.SO_SNDBUF, s.limits.KernelBufferBytes)
 	}
-	if s.limits.ReceiveBufferBytes > 0 {
-		setReceiveBuffer(descriptor, s.limits.ReceiveBufferBytes)
-	}
 	c.mu.Lock()
 	c.usable = true
 	if s.limits.HandshakeTimeout > 0 {
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -36,7 +36,7 @@
 	WriteTimeout         time.Duration // longest time for writing one frame, and for delivery by the kernel after a close
 	HandshakeTimeout     time.Duration // longest time for receiving a handshake, or a message of a SplitFunc protocol
 	KernelBufferBytes    int           // socket send buffer, which bounds the unsent bytes in the kernel; 0: system default
-	ReceiveBufferBytes   int           // socket receive buffer, which bounds the unread bytes in the kernel; 0: system default
+	ReceiveBufferBytes   int           // receive buffer of accepted sockets, which bounds the unread bytes in the kernel; 0: system default
 	Input                *InputBudget  // what connections hold of unhandled input; nil: unlimited
 	Output               *OutputBudget // what connections hold of unwritten output, beside MaxQueuedBytes; nil: unlimited
 	MaxPendingHandshakes int           // connections with an unfinished handshake; beyond it one is reset; 0: no limit
