--- a/internal/daemon/limits_test.go
+++ b/internal/daemon/limits_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"strings"
 	"syscall"
+	"sync"
 	"testing"
 	"time"
 
@@ -194,17 +195,23 @@
 		from := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, byte(i >> 8), byte(i)}), 1)
 		first := true
 		var c *transport.Conn
+		var receiving sync.Mutex // calls of Receive for one connection must not overlap
+		receive := func(in []byte) {
+			receiving.Lock()
+			defer receiving.Unlock()
+			c.Receive(in)
+		}
 		c = p.d.AttachInMemory(network, from, func(b []byte) {
 			switch {
 			case first:
 				first = false
 			case b[0] == 0x89:
-				c.Receive([]byte{0x8a, 0x80, 0, 0, 0, 0})
+				receive([]byte{0x8a, 0x80, 0, 0, 0, 0})
 			default:
 				closed <- string(b)
 			}
 		})
-		c.Receive([]byte(upgradeRequest))
+		receive([]byte(upgradeRequest))
 	}
 	eventually(t, "all clients are connected", func() bool { used, _ := p.d.ConnectionUsage(); return used >= 500 })
 	p.d.AdvanceClock(5 * time.Second)
