Conf: a message of discovery is bounded by the memory, buffers have a least size

A frame of up to 4 MB, decoded, did not fit beside the program in a limit of 32 MB. It may be as long as discovery's budget now, 0.5 MB there and 3 MB at 192 MB; the list of 3,200 servers takes 0.1 MB. Budgets have 0.5 MB at least, for configurations with little memory of the project's own protocol.

--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -392,23 +392,26 @@
 }
 
 // The part of the memory that unhandled input of connections may hold, and the same for output that waits to be
-// written. Where no memory is set, defaultMemory applies.
+// written; minBufferMemory at least. Where no memory is set, defaultMemory applies.
 const (
 	bufferMemoryShare = 64
 	defaultMemory     = 1 << 30
+	minBufferMemory   = 512 << 10
 )
 
 // LimitMemory bounds what all connections hold of input and output by the memory of the program; 0: not set. Discovery
-// has a bound of its own, because one of its messages may be as long as all that clients and nodes may hold.
+// has a bound of its own, because one of its messages may be as long as all that clients and nodes may hold. A message of
+// discovery is bounded by it too.
 func (l *ConnectionLimits) LimitMemory(memory int64) {
 	if memory == 0 {
 		memory = defaultMemory
 	}
-	share := memory / bufferMemoryShare
+	share := max(memory/bufferMemoryShare, minBufferMemory)
 	l.Clients.Input = transport.NewInputBudget(share)
 	l.Clients.Output = transport.NewOutputBudget(share)
 	l.Nodes.Input, l.Nodes.Output = l.Clients.Input, l.Clients.Output
 	l.Discovery.Input = transport.NewInputBudget(share)
+	l.Discovery.MaxMessageBytes = min(l.Discovery.MaxMessageBytes, int(share))
 }
 
 // Summary describes the configuration in one line, for logs.
--- a/internal/daemon/limits_test.go
+++ b/internal/daemon/limits_test.go
@@ -8,8 +8,8 @@
 	"net"
 	"net/netip"
 	"strings"
-	"syscall"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
