Transport: a new connection waits rather than resets one whose message is about to be read

What was seen: in the whole check beside the bench, TestMemoryStaysWithinItsLimitUnderFloods failed twice: a usual client's new connection was reset, with its request, by 100 and 150 others that came at once.

Cause: with 64 connections without a complete message, each new one reset the oldest, and a connection counted as silent whose bytes had arrived and were not read yet, or which was a millisecond old.

Change: a connection may be reset for a new one 10 ms after it was accepted, and one with unread input after 1 s. If there is none, the listener rests for 2 ms and the new connection waits in the kernel.

--- a/internal/transport/accept.go
+++ b/internal/transport/accept.go
@@ -66,6 +66,9 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.socket == noDescriptor {
+		return nil
+	}
 	l.token, err = p.add(l.socket, w)
 	return err
 }
@@ -101,6 +104,26 @@
 	return noDescriptor, nil, acceptDelay
 }
 
+// acceptPause is how long new connections wait in the kernel where none may take the place of another.
+const acceptPause = 2 * time.Millisecond
+
+// pause has the poller call the watcher no more for acceptPause.
+func (l *listener) pause(w watcher) {
+	p, _ := defaultPoller()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.socket == noDescriptor || l.token == 0 {
+		return
+	}
+	p.remove(l.socket, l.token)
+	l.token = 0
+	time.AfterFunc(acceptPause, func() {
+		if err := l.watch(w); err != nil {
+			internalErrors.Add(1)
+		}
+	})
+}
+
 // Close closes the descriptor once. The system refuses connections from then on.
 func (l *listener) Close() error {
 	l.mu.Lock()
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -53,6 +53,11 @@
 
 // ready is called by the poller when a connection can be accepted.
 func (s *Server) ready(uint32) {
+	if s.split != nil && s.limits.MaxPendingHandshakes > 0 && int(s.pendingHandshakes.Load()) >= s.limits.MaxPendingHandshakes &&
+		!s.resetOldestPending() {
+		s.listener.pause(s)
+		return
+	}
 	descriptor, peer, delay := s.listener.accept()
 	if descriptor == noDescriptor {
 		time.Sleep(delay)
@@ -70,11 +75,7 @@
 		handshakeDone: s.split != nil, acceptedAt: time.Now()}
 	socket.conn = c
 	n := s.pendingHandshakes.Add(1)
-	if s.split != nil && s.limits.MaxPendingHandshakes > 0 && int(n) > s.limits.MaxPendingHandshakes {
-		s.resetOldestPending()
-		n = 0
-	}
-	if s.refusing.Load() || s.limits.MaxPendingHandshakes > 0 && int(n) > s.limits.MaxPendingHandshakes {
+	if s.refusing.Load() || s.split == nil && s.limits.MaxPendingHandshakes > 0 && int(n) > s.limits.MaxPendingHandshakes {
 		s.pendingHandshakes.Add(-1)
 		setResetOnClose(descriptor)
 		_ = unix.Close(descriptor)
--- a/internal/transport/tcp.go
+++ b/internal/transport/tcp.go
@@ -17,7 +17,7 @@
 
 // ServeTCP is Serve for a protocol without a handshake that frames its messages itself. The first complete message of
 // a peer counts as its handshake. When a new connection would exceed Limits.MaxPendingHandshakes, the pending
-// connection that resetOldestPending selects is reset instead of the new one. Pending connections end after
+// connection that resetOldestPending selects is reset for it; if there is none, the new one waits in the kernel. Pending connections end after
 // Limits.HandshakeTimeout, which also applies to the completion of every later message.
 func ServeTCP(address string, split SplitFunc, limits Limits, handler Handler) (*Server, error) {
 	return serve(address, "", split, limits, handler)
@@ -112,23 +112,38 @@
 	}
 }
 
-// resetOldestPending resets the oldest connection without a complete message. Connections that have sent nothing at
-// all are reset first, since a partial message may be a request.
-func (s *Server) resetOldestPending() {
+// A connection without a complete message may be reset for a new one minPendingAge after it was accepted, and one with
+// input that is not read yet after maxUnreadAge: its message is about to be read.
+const (
+	minPendingAge = 10 * time.Millisecond
+	maxUnreadAge  = time.Second
+)
+
+// resetOldestPending resets the oldest connection without a complete message that may be reset, and reports whether there
+// is one. Connections that have sent nothing at all are reset first, since a partial message may be a request.
+func (s *Server) resetOldestPending() bool {
 	var oldest *Conn
 	oldestSent := false // oldest has sent a partial message
+	now := time.Now()
 	s.mu.Lock()
 	for c := range s.conns {
-		if c.handshakeReceived.Load() {
+		age := now.Sub(c.acceptedAt)
+		if c.handshakeReceived.Load() || age < minPendingAge {
 			continue
 		}
 		sent := c.lastRead.Load() != 0
-		if oldest == nil || oldestSent && !sent || oldestSent == sent && c.acceptedAt.Before(oldest.acceptedAt) {
-			oldest, oldestSent = c, sent
+		if oldest != nil && (sent && !oldestSent || oldestSent == sent && oldest.acceptedAt.Before(c.acceptedAt)) {
+			continue
+		}
+		if age < maxUnreadAge && c.InputPending() {
+			continue
 		}
+		oldest, oldestSent = c, sent
 	}
 	s.mu.Unlock()
-	if oldest != nil {
-		oldest.Reset()
+	if oldest == nil {
+		return false
 	}
+	oldest.Reset()
+	return true
 }
