--- a/cmd/fordusher/memory_test.go
+++ b/cmd/fordusher/memory_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -168,11 +169,13 @@
 					config.nodes = append(config.nodes, newMediaNode(t))
 				}
 				d := startPlatformDirector(t, config)
+				usual := d.connect() // before the flood; see TestNewConnectionInAStormIsAnswered
+				usual.conn.Write(probeRequest())
+				usual.expect(kindProbeReply, 1)
 				stop, floodEnded := make(chan struct{}), make(chan struct{})
 				var sent atomic.Int64
 				go func() { f.run(d.address, stop, &sent); close(floodEnded) }()
 				peak, slowest, answers := 0, time.Duration(0), map[byte]int{}
-				usual := d.connect()
 				for start, id := time.Now(), uint64(1); time.Since(start) < floodTime; id++ {
 					asked := time.Now()
 					usual.conn.Write(setupRequestWithin(id, int(id%8), 1, waitTime))
@@ -203,3 +206,30 @@
 		}
 	}
 }
+
+// A usual client connects while hundreds of others do so at once and send at full speed. Guards against its connection being
+// reset for theirs before its request has an answer.
+func TestNewConnectionInAStormIsAnswered(t *testing.T) {
+	const (
+		rounds   = 10
+		waitTime = time.Second
+	)
+	program := buildProgram(t)
+	storm := floods[slices.IndexFunc(floods, func(f flood) bool { return f.clients > 100 && !f.stalls })]
+	for range rounds {
+		config := platformConfig{listen: freeAddress(t), discovery: freeAddress(t), sockets: 512, program: program, deadline: 2,
+			nodes: []*mediaNode{newMediaNode(t)}}
+		d := startPlatformDirector(t, config)
+		stop, ended := make(chan struct{}), make(chan struct{})
+		var sent atomic.Int64
+		go func() { storm.run(d.address, stop, &sent); close(ended) }()
+		usual := d.connect()
+		usual.conn.Write(setupRequestWithin(1, 0, 1, waitTime))
+		kind, session := usual.next()
+		close(stop)
+		<-ended
+		if session != 1 || kind != kindAnswer && kind != kindRelease {
+			t.Fatalf("got kind %d of session %d, want an answer", kind, session)
+		}
+	}
+}
