--- /dev/null
+++ b/review/peers2/medianode.go
@@ -0,0 +1,259 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// A mediaNode is a streaming server on a machine of its own. A process on it accepts every set-up.
+type mediaNode struct {
+	run      *run
+	id       uint32
+	cell     int
+	listener net.Listener
+
+	mu       sync.Mutex
+	lost     bool // the machine is cut off: it reads, answers and accepts nothing
+	silent   func(rtspMessage) bool
+	conns    map[net.Conn]bool
+	sessions map[string]*nodeSession
+	releases []string // ended sessions whose release is repeated on the next connection
+	setups   []sentSetup
+	fillers  []net.Conn        // connections that keep others from coming up while the machine is lost
+	stale    map[net.Conn]bool // connections to the process before
+	returned chan struct{}     // closed when the machine is back
+}
+
+// A nodeSession is a session that stands at a media node.
+type nodeSession struct {
+	conn net.Conn // of its set-up
+	end  *time.Timer
+}
+
+// A sentSetup is a set-up that a media node has received.
+type sentSetup struct {
+	session   string
+	firstCell int // of its title
+	at        time.Time
+}
+
+const (
+	setupTime     = 20 * time.Millisecond
+	sessionLength = 60 * time.Second
+)
+
+// newMediaNode starts a media node. Its queue of new connections is as short as the system allows, so that filling it
+// keeps further ones from coming up.
+func (r *run) newMediaNode(id uint32, cell int) (*mediaNode, error) {
+	return r.newMediaNodeAt(id, cell, "127.0.0.1:0")
+}
+
+// newMediaNodeAt is newMediaNode at an address.
+func (r *run) newMediaNodeAt(id uint32, cell int, address string) (*mediaNode, error) {
+	l, err := listenShort(address)
+	if err != nil {
+		return nil, err
+	}
+	n := &mediaNode{run: r, id: id, cell: cell, listener: l, conns: map[net.Conn]bool{}, sessions: map[string]*nodeSession{},
+		returned: make(chan struct{})}
+	r.onEnd(func() { l.Close() })
+	go n.serve()
+	return n, nil
+}
+
+// listenShort listens at a loopback address with the shortest queue.
+func listenShort(address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	raw, err := l.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	if controlErr := raw.Control(func(fd uintptr) { err = syscall.Listen(int(fd), 0) }); controlErr != nil {
+		return nil, controlErr
+	}
+	return l, err
+}
+
+func (n *mediaNode) name() string    { return fmt.Sprintf("s-%08x", n.id) }
+func (n *mediaNode) address() string { return n.listener.Addr().String() }
+
+// change returns discovery's record of the media node.
+func (n *mediaNode) change(state byte, started int64) change {
+	return change{n.id, n.address(), state, n.cell, started}
+}
+
+func (n *mediaNode) serve() {
+	for {
+		c, err := n.listener.Accept()
+		if err != nil {
+			return
+		}
+		n.mu.Lock()
+		lost := n.lost
+		n.mu.Unlock()
+		if lost { // it was in the queue of new connections
+			<-n.returned
+			c.Close()
+			continue
+		}
+		go n.serveConn(c)
+	}
+}
+
+func (n *mediaNode) serveConn(c net.Conn) {
+	n.mu.Lock()
+	n.conns[c] = true
+	releases := n.releases
+	n.releases = nil
+	n.mu.Unlock()
+	n.run.record.line("%s: connection from the director", n.name())
+	for _, session := range releases {
+		n.write(c, n.release(session))
+	}
+	in := bufio.NewReader(c)
+	for {
+		m, err := readRTSP(in)
+		if n.cutOff() {
+			<-n.returned
+		}
+		n.mu.Lock()
+		stale := n.stale[c]
+		n.mu.Unlock()
+		if stale && err == nil {
+			n.run.record.line("%s: a message on a connection of the process before is answered with a reset: %s", n.name(), m.first)
+			c.(*net.TCPConn).SetLinger(0)
+			break
+		}
+		if err != nil {
+			break
+		}
+		n.handle(c, m)
+	}
+	n.mu.Lock()
+	delete(n.conns, c)
+	n.mu.Unlock()
+	c.Close()
+	n.run.record.line("%s: a connection has ended", n.name())
+}
+
+func (n *mediaNode) write(c net.Conn, b []byte) {
+	c.SetWriteDeadline(time.Now().Add(time.Second))
+	c.Write(b) // the connection's reader notices if it has ended
+}
+
+func (n *mediaNode) handle(c net.Conn, m rtspMessage) {
+	session := m.headers["session"]
+	if m.method() != "" {
+		n.run.record.line("%s: received %s, session %s", n.name(), m.first, session)
+	}
+	switch m.method() {
+	case "SETUP":
+		n.mu.Lock()
+		n.setups = append(n.setups, sentSetup{session, titleCell(m.first), time.Now()})
+		silent := n.silent != nil && n.silent(m)
+		n.mu.Unlock()
+		if silent {
+			n.run.record.line("%s: no answer to session %s", n.name(), session)
+			return
+		}
+		time.AfterFunc(setupTime, func() { n.accept(c, m, session) })
+	case "TEARDOWN":
+		n.mu.Lock()
+		if s := n.sessions[session]; s != nil {
+			s.end.Stop()
+			delete(n.sessions, session)
+		}
+		n.mu.Unlock()
+		n.write(c, rtspText("RTSP/1.0 200 OK", "", "CSeq: 2", "Session: "+session))
+	case "OPTIONS":
+		n.write(c, rtspText("RTSP/1.0 200 OK", "", "CSeq: 3", "Session: "+session))
+	}
+}
+
+// accept answers a set-up and lets its session stand, unless its connection has ended.
+func (n *mediaNode) accept(c net.Conn, m rtspMessage, session string) {
+	n.mu.Lock()
+	if !n.conns[c] || n.lost {
+		n.mu.Unlock()
+		return
+	}
+	n.sessions[session] = &nodeSession{c, time.AfterFunc(sessionLength, func() { n.finish(session) })}
+	n.mu.Unlock()
+	n.run.record.line("%s: session %s stands", n.name(), session)
+	n.write(c, rtspText("RTSP/1.0 200 OK", "v=0 "+strings.TrimSpace(m.body), "CSeq: 1", "Session: "+session, "X-Group: x0:0.1;x1:0.1"))
+}
+
+func (n *mediaNode) release(session string) []byte {
+	return rtspText("TEARDOWN rtsp://media/"+session+" RTSP/1.0", "", "CSeq: 4", "Session: "+session, "Reason: cause=16")
+}
+
+// finish ends a session. Its release goes out on the connection of its set-up, otherwise on any open one, and on the next.
+func (n *mediaNode) finish(session string) {
+	n.mu.Lock()
+	s := n.sessions[session]
+	if s == nil {
+		n.mu.Unlock()
+		return
+	}
+	delete(n.sessions, session)
+	c := s.conn
+	if !n.conns[c] {
+		for c = range n.conns {
+			break
+		}
+	}
+	n.releases = append(n.releases, session)
+	open := n.conns[c]
+	n.mu.Unlock()
+	n.run.record.line("%s: session %s has come to its end", n.name(), session)
+	if open {
+		n.write(c, n.release(session))
+	}
+}
+
+// standing returns the sessions that stand.
+func (n *mediaNode) standing() (sessions []string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for id := range n.sessions {
+		sessions = append(sessions, id)
+	}
+	return sessions
+}
+
+// setupsSince returns the set-ups received after a time.
+func (n *mediaNode) setupsSince(since time.Time) (late []sentSetup) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, s := range n.setups {
+		if s.at.After(since) {
+			late = append(late, s)
+		}
+	}
+	return late
+}
+
+// cutOff reports whether the machine is lost.
+func (n *mediaNode) cutOff() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.lost
+}
+
+// titleCell returns the first cell of the title in the first line of a set-up. The titles of viewer.setup end in it.
+func titleCell(first string) int {
+	_, rest, _ := strings.Cut(first, "rtsp://media/")
+	title, _, _ := strings.Cut(rest, " ")
+	if title == "" {
+		return -1
+	}
+	return int(title[len(title)-1] - '0')
+}
