review: case 8, releases written to a connection that is cut off are not sent again

An end is repeated on another connection only if its own ends within 2 s, so that a network cut of 5 s loses each release that was written meanwhile. The cases of the lost zone and of the reused address move to 9 and 10, the lesser ones.

--- a/review/peers2/main.go
+++ b/review/peers2/main.go
@@ -23,6 +23,7 @@
 
 var cases = map[string]playedCase{
 	"slow-discovery": {playSlowDiscovery, "discovery answers each call late, and a media node drains"},
+	"network-cut":    {playNetworkCut, "the network to the viewers is cut for 5 s while sessions come to their end"},
 	"address-reuse":  {playAddressReuse, "a media node is replaced by another one at its address"},
 	"zone-lost":      {playZoneLost, "the machines of a zone are lost for 5 s and come back with new processes"},
 	"slow-writer":    {playSlowWriter, "a set-up is written slowly while another one waits for a silent media node"},
--- a/review/peers2/run.go
+++ b/review/peers2/run.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -43,6 +44,7 @@
 	record  *record
 	temp    string // folder for the director's configuration and log
 	trouble bool
+	viewers atomic.Uint64 // connections of viewers so far
 
 	mu         sync.Mutex
 	violations []string
--- a/review/peers2/scripts_test.go
+++ b/review/peers2/scripts_test.go
@@ -27,6 +27,8 @@
 
 func TestSecondReviewSlowWriter(t *testing.T) { runScript(t, "7") }
 
-func TestSecondReviewZoneLost(t *testing.T) { runScript(t, "8") }
+func TestSecondReviewNetworkCut(t *testing.T) { runScript(t, "8") }
 
-func TestSecondReviewAddressReuse(t *testing.T) { runScript(t, "9") }
+func TestSecondReviewZoneLost(t *testing.T) { runScript(t, "9") }
+
+func TestSecondReviewAddressReuse(t *testing.T) { runScript(t, "10") }
--- a/review/peers2/viewer.go
+++ b/review/peers2/viewer.go
@@ -21,6 +21,7 @@
 	mu       sync.Mutex
 	requests map[uint64]*request
 	ended    time.Time // when the connection ended; zero: it has not
+	earlier  *viewer   // another connection, whose sessions may be released on this one
 }
 
 // A request is a set-up of a viewer.
@@ -40,7 +41,7 @@
 	if err != nil {
 		return nil, err
 	}
-	v := &viewer{run: r, conn: conn, random: rand.New(rand.NewPCG(seed, 0)), requests: map[uint64]*request{}}
+	v := &viewer{run: r, conn: conn, random: rand.New(rand.NewPCG(seed, r.viewers.Add(1))), requests: map[uint64]*request{}}
 	r.onEnd(func() { conn.Close() })
 	go v.read()
 	return v, nil
@@ -65,6 +66,10 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	q := v.requests[m.session]
+	if q == nil && v.earlier != nil {
+		go v.earlier.receive(m)
+		return
+	}
 	if q == nil {
 		v.run.record.line("viewers: received message %d for unknown session %016x", m.kind, m.session)
 		return
@@ -136,3 +141,10 @@
 		}
 	}
 }
+
+// follow lets the sessions of an earlier connection be released on this one.
+func (v *viewer) follow(earlier *viewer) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.earlier = earlier
+}
